--- /dev/null
+++ b/Makefile
@@ -0,0 +1,69 @@
+TOOLS := $(CURDIR)/.tools
+GO ?= go
+export PATH := $(TOOLS):$(PATH)
+
+GOLANGCI_VERSION := v2.15.0
+GOFUMPT_VERSION := v0.12.0
+BUF_VERSION := v1.50.0
+PROTOC_GEN_GO_VERSION := v1.36.12
+TWIRP_VERSION := v8.1.3+incompatible
+
+.PHONY: build test lint format generate check-generated tools lint-tools generate-tools soak fuzz clean
+
+build:
+	$(GO) build -o lavenderhub .
+
+test:
+	$(GO) test -race -timeout 20m ./...
+
+# Long randomised runs over the pure parts.
+soak:
+	$(GO) test -timeout 80m -run 'Random' ./internal/replicator ./internal/limiter ./internal/admitter -rapid.checks=20000 -rapid.seed=7
+
+FUZZ_TIME ?= 30s
+fuzz:
+	$(GO) test ./internal/parser -run '^$$' -fuzz FuzzParse -fuzztime $(FUZZ_TIME)
+	$(GO) test ./internal/authenticator -run '^$$' -fuzz FuzzVerify -fuzztime $(FUZZ_TIME)
+	$(GO) test ./internal/forwarder -run '^$$' -fuzz FuzzHeaders -fuzztime $(FUZZ_TIME)
+
+lint: lint-tools
+	test -z "$$(gofumpt -l main.go internal)"
+	golangci-lint run ./...
+
+format: lint-tools
+	gofumpt -w main.go internal
+
+generate: generate-tools
+	cd schema && buf generate
+
+check-generated: generate
+	git diff --exit-code -- schema
+
+tools: lint-tools generate-tools
+
+lint-tools: $(TOOLS)/golangci-lint-$(GOLANGCI_VERSION) $(TOOLS)/gofumpt-$(GOFUMPT_VERSION)
+
+generate-tools: $(TOOLS)/buf-$(BUF_VERSION) $(TOOLS)/protoc-gen-go-$(PROTOC_GEN_GO_VERSION) $(TOOLS)/protoc-gen-twirp-$(TWIRP_VERSION)
+
+$(TOOLS)/golangci-lint-$(GOLANGCI_VERSION):
+	GOBIN=$(TOOLS) $(GO) install github.com/golangci/golangci-lint/v2/cmd/golangci-lint@$(GOLANGCI_VERSION)
+	touch $@
+
+$(TOOLS)/gofumpt-$(GOFUMPT_VERSION):
+	GOBIN=$(TOOLS) $(GO) install mvdan.cc/gofumpt@$(GOFUMPT_VERSION)
+	touch $@
+
+$(TOOLS)/buf-$(BUF_VERSION):
+	GOBIN=$(TOOLS) $(GO) install github.com/bufbuild/buf/cmd/buf@$(BUF_VERSION)
+	touch $@
+
+$(TOOLS)/protoc-gen-go-$(PROTOC_GEN_GO_VERSION):
+	GOBIN=$(TOOLS) $(GO) install google.golang.org/protobuf/cmd/protoc-gen-go@$(PROTOC_GEN_GO_VERSION)
+	touch $@
+
+$(TOOLS)/protoc-gen-twirp-$(TWIRP_VERSION):
+	GOBIN=$(TOOLS) $(GO) install github.com/twitchtv/twirp/protoc-gen-twirp@$(TWIRP_VERSION)
+	touch $@
+
+clean:
+	rm -rf lavenderhub out
--- /dev/null
+++ b/internal/admitter/limit.go
@@ -0,0 +1,123 @@
+package admitter
+
+import (
+	"math"
+	"time"
+)
+
+const (
+	// firstShare is the part of the slots that a cold upstream starts with.
+	firstShare = 0.25
+	// limitWindow is the shortest time between two decisions on the limit.
+	limitWindow = 200 * time.Millisecond
+	// backoff is the factor of a cut after the upstream shed load itself.
+	backoff = 0.8
+	// probeShare is the size of a probe up or down.
+	probeShare = 0.08
+	// gainShare is the part of a probe's size by which throughput must follow for the probe to be kept.
+	gainShare = 0.4
+	// inflation is the factor of latency over its floor beyond which a smaller limit is tried.
+	inflation = 2.0
+	// floorDrift is how fast the floor of latency follows a lasting rise, for each window.
+	floorDrift = 0.01
+	// hintStart is the reported load from which a limit is lowered, and hintCut the most that it is lowered by.
+	hintStart = 0.8
+	hintCut   = 0.2
+)
+
+// limit adapts how many requests an upstream gets at once. Slots bound it from above. A rise of latency alone does
+// not cut it: an upstream that slows evenly would lose throughput. It is cut when the upstream sheds load, and when
+// a probe shows that fewer requests at once give the same throughput.
+type limit struct {
+	slots int
+	value float64
+	hint  float64
+
+	decided  time.Time
+	done     int
+	shed     int
+	latency  time.Duration
+	busy     bool
+	floor    time.Duration
+	probe    int
+	before   float64
+	measured bool
+}
+
+func newLimit(slots int, now time.Time) limit {
+	return limit{slots: slots, value: max(1, float64(slots)*firstShare), decided: now}
+}
+
+// current returns the limit in requests, at least one and at most the slots.
+func (l *limit) current() int {
+	v := l.value * (1 - hintCut*min(1, max(0, l.hint-hintStart)/(1-hintStart)))
+	return max(1, min(l.slots, int(math.Round(v))))
+}
+
+// setSlots changes the upper bound.
+func (l *limit) setSlots(slots int) {
+	l.slots = slots
+	l.value = min(l.value, float64(slots))
+}
+
+// finish takes in one finished request: the time in the upstream itself and whether the upstream shed it.
+func (l *limit) finish(self time.Duration, shed bool) {
+	if shed {
+		l.shed++
+		return
+	}
+	l.done++
+	l.latency += self
+	// Until the first measured window each answer makes room for one more.
+	if !l.measured {
+		l.value = min(float64(l.slots), l.value+1)
+	}
+}
+
+// decide ends a window once it is long enough. Busy tells that the limit was reached in it.
+func (l *limit) decide(now time.Time) {
+	elapsed := now.Sub(l.decided)
+	if elapsed < limitWindow || l.done+l.shed < 10 {
+		return
+	}
+	throughput := float64(l.done) / elapsed.Seconds()
+	if l.done > 0 {
+		l.follow(l.latency / time.Duration(l.done))
+	}
+	l.adjust(throughput)
+	l.decided, l.done, l.shed, l.latency, l.busy = now, 0, 0, 0, false
+}
+
+// follow keeps the floor of latency.
+func (l *limit) follow(mean time.Duration) {
+	if l.floor == 0 || mean < l.floor {
+		l.floor = mean
+		return
+	}
+	l.floor += time.Duration(float64(mean-l.floor) * floorDrift)
+}
+
+func (l *limit) adjust(throughput float64) {
+	inflated := l.done > 0 && float64(l.latency/time.Duration(l.done)) > inflation*float64(l.floor)
+	full := l.value >= float64(l.slots)
+	switch {
+	case l.shed*10 > l.done:
+		l.value = max(1, l.value*backoff)
+		l.probe, l.measured = 0, true
+	case l.probe < 0:
+		// A smaller limit that kept its throughput stays; otherwise it goes back.
+		if throughput < l.before*(1-probeShare*gainShare) {
+			l.value /= 1 - probeShare
+		}
+		l.probe = 0
+	case l.busy && inflated && full && l.measured:
+		l.before, l.probe = throughput, -1
+		l.value = max(1, l.value*(1-probeShare))
+	default:
+		if l.busy {
+			l.value *= 1 + probeShare
+		}
+		l.measured = l.measured || full
+	}
+	l.value = max(1, min(l.value, float64(l.slots)))
+}
--- /dev/null
+++ b/internal/cmd/cmd_serve.go
@@ -0,0 +1,58 @@
+package cmd
+
+import (
+	"context"
+	"os/signal"
+	"syscall"
+
+	"github.com/pkg/errors"
+	"github.com/spf13/cobra"
+
+	"github.com/lavenderhub/lavenderhub/internal/logger"
+	"github.com/lavenderhub/lavenderhub/internal/parser"
+	"github.com/lavenderhub/lavenderhub/internal/runner"
+)
+
+var cmdServe = command{
+	name:    "serve",
+	short:   "Run the roles of a settings file until interrupted",
+	example: "  lavenderhub serve --config node.jsonc",
+	args:    cobra.NoArgs,
+	setup: func(c *cobra.Command) func([]string) error {
+		file := configFlag(c)
+		level := logLevelFlag(c)
+		return func([]string) error { return serve(*file, *level) }
+	},
+}
+
+func serve(file, level string) error {
+	cfg, err := parser.ParseFile(file)
+	if err != nil {
+		return err
+	}
+	if cfg.GetFleet() != nil {
+		return errors.Errorf("%s describes a fleet; run it with lavenderhub dev --config %s", file, file)
+	}
+	least, err := logLevel(level)
+	if err != nil {
+		return err
+	}
+	ctx, stop := untilInterrupted()
+	defer stop()
+	p, err := runner.Start(cfg, logger.New(logTarget(), least))
+	if err != nil {
+		return err
+	}
+	select {
+	case <-ctx.Done():
+	case <-p.Failed():
+	}
+	// A second signal ends the process at once.
+	stop()
+	return p.Stop()
+}
+
+// untilInterrupted returns a context that ends with the first interrupt or termination signal.
+func untilInterrupted() (context.Context, context.CancelFunc) {
+	return signal.NotifyContext(context.Background(), syscall.SIGINT, syscall.SIGTERM)
+}
--- /dev/null
+++ b/internal/controller/leadership.go
@@ -0,0 +1,213 @@
+package controller
+
+import (
+	"maps"
+	"slices"
+	"strings"
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/lavenderhub/lavenderhub/internal/applier"
+	"github.com/lavenderhub/lavenderhub/internal/authenticator"
+	"github.com/lavenderhub/lavenderhub/internal/limiter"
+	"github.com/lavenderhub/lavenderhub/internal/replicator"
+	"github.com/lavenderhub/lavenderhub/internal/resolver"
+	"github.com/lavenderhub/lavenderhub/schema"
+)
+
+const (
+	// nodeLifetime is the silence after which a node's workers are taken off.
+	nodeLifetime = 2500 * time.Millisecond
+	// gatherTime is how long a new leader waits for the nodes' states before it says that workers are gone.
+	gatherTime = 3 * time.Second
+	// replaceAfter is the silence after which a replica may be replaced by another of its name.
+	replaceAfter = 3 * time.Second
+)
+
+// foundingTerm is the term of the entry that founds a fleet; its first leader has the next one.
+const foundingTerm = 1
+
+// leadership is the state that only the leader keeps, from the start of its term. Nodes and other replicas can give
+// all of it again.
+type leadership struct {
+	term     uint64
+	began    time.Time
+	owner    *limiter.Owner
+	accounts map[string]bool
+	nodes    map[string]*nodeState
+	services map[string]*serviceState
+}
+
+// nodeState is what a node said last.
+type nodeState struct {
+	incarnation uint64
+	workers     []*schema.Worker
+	seen        time.Time
+	revision    uint64
+	admin       string
+}
+
+// serviceState is the membership of one service.
+type serviceState struct {
+	workers     map[string]*schema.Worker
+	fingerprint uint64
+}
+
+// noteLeadership makes or drops the leader's own state when the role changed.
+func (c *Controller) noteLeadership(now time.Time) {
+	s := c.core.Status()
+	if s.Role != replicator.Leader && len(c.pending) > 0 {
+		c.failPending()
+	}
+	if !c.core.IsReady() {
+		if c.leading != nil {
+			c.log.Info("leadershipLost", zap.Uint64("term", c.leading.term))
+			c.leading = nil
+			c.meter.leads.Update(0)
+		}
+		return
+	}
+	if c.leading != nil && c.leading.term == s.Term {
+		return
+	}
+	c.leading = &leadership{
+		term: s.Term, began: now, owner: limiter.NewOwner(now, c.carry(now), c.assert),
+		accounts: map[string]bool{}, nodes: map[string]*nodeState{}, services: map[string]*serviceState{},
+	}
+	c.leading.refreshTerms(c.machine, now)
+	c.meter.leads.Update(1)
+	c.log.Info("leadershipBegun", zap.Uint64("term", s.Term), zap.Uint64("applied", s.Applied))
+	c.lastTerm, c.termSeen = s.Term, now
+	c.ensureTokenKey(now)
+}
+
+// carry returns what nodes may hold of earlier owners' grants.
+func (c *Controller) carry(now time.Time) limiter.Carry {
+	previous := c.core.PreviousTerm()
+	switch {
+	case previous == foundingTerm:
+		return limiter.CarryNothing
+	case previous != c.lastTerm:
+		return limiter.CarrySeveral
+	default:
+		return limiter.CarryOf(c.termSeen, now)
+	}
+}
+
+// ensureTokenKey makes the first key for request tokens.
+func (c *Controller) ensureTokenKey(now time.Time) {
+	if c.machine.HasTokenKey() {
+		return
+	}
+	c.propose(&schema.Command{
+		RequestId: "first-token-key",
+		Change:    &schema.Command_AddTokenKey{AddTokenKey: &schema.AddTokenKey{Secret: authenticator.NewSecret()}},
+	}, now, func(applier.Outcome, bool) {})
+}
+
+// refreshTerms tells the owner the terms in force.
+func (l *leadership) refreshTerms(m *applier.Machine, now time.Time) {
+	for _, a := range m.Accounts() {
+		p := m.Effective(resolver.AccountPath(a.GetId())).Policy
+		l.owner.SetTerms(a.GetId(), p.GetRate(), p.GetBurst(), now)
+		l.accounts[a.GetId()] = true
+	}
+}
+
+// lookAfter is the leader's upkeep: silent nodes, and learners that can be promoted.
+func (c *Controller) lookAfter(now time.Time) {
+	if c.leading == nil || now.Before(c.upkeep) {
+		return
+	}
+	c.upkeep = now.Add(upkeepInterval)
+	for name, n := range c.leading.nodes {
+		if now.Sub(n.seen) > nodeLifetime {
+			c.log.Info("nodeSilent", zap.String("node", name))
+			c.leading.removeNode(name)
+		}
+	}
+	c.meter.nodes.Update(int64(len(c.leading.nodes)))
+	c.promote(now)
+}
+
+// promote makes a caught-up learner a voter, after the silent voter that it replaces was removed.
+func (c *Controller) promote(now time.Time) {
+	for _, learner := range c.core.Learners(now) {
+		change := &schema.ChangeReplica{Kind: schema.ChangeReplica_KIND_PROMOTE, Id: learner.GetId()}
+		for _, r := range c.core.Status().Replicas {
+			isOld := r.GetName() == learner.GetName() && r.GetId() != learner.GetId()
+			if !isOld {
+				continue
+			}
+			if c.core.Silence(r.GetId(), now) < replaceAfter {
+				return
+			}
+			change = &schema.ChangeReplica{Kind: schema.ChangeReplica_KIND_REMOVE, Id: r.GetId()}
+		}
+		if err := c.core.Change(change, now); err == nil {
+			c.log.Info("replicaChanged", zap.String("kind", change.GetKind().String()), zap.Uint64("id", change.GetId()))
+		}
+		return
+	}
+}
+
+// noteNode takes in what a node says of its upstreams.
+func (l *leadership) noteNode(req *schema.SyncRequest, now time.Time) {
+	n := l.nodes[req.GetNode()]
+	if n == nil || n.incarnation != req.GetIncarnation() {
+		l.removeNode(req.GetNode())
+		n = &nodeState{incarnation: req.GetIncarnation()}
+		l.nodes[req.GetNode()] = n
+	}
+	n.seen, n.revision = now, req.GetHaveRevision()
+	if resolver.Fingerprint(n.workers) != resolver.Fingerprint(req.GetWorkers()) {
+		l.removeWorkers(n)
+		n.workers = req.GetWorkers()
+		l.addWorkers(n)
+	}
+	for _, w := range n.workers {
+		n.admin = w.GetAdminAddress()
+	}
+}
+
+func (l *leadership) addWorkers(n *nodeState) {
+	for _, w := range n.workers {
+		s := l.services[w.GetService()]
+		if s == nil {
+			s = &serviceState{workers: map[string]*schema.Worker{}}
+			l.services[w.GetService()] = s
+		}
+		s.workers[w.GetNode()] = w
+		s.fingerprint = resolver.Fingerprint(s.list())
+	}
+}
+
+func (l *leadership) removeWorkers(n *nodeState) {
+	for _, w := range n.workers {
+		s := l.services[w.GetService()]
+		if s == nil {
+			continue
+		}
+		delete(s.workers, w.GetNode())
+		s.fingerprint = resolver.Fingerprint(s.list())
+	}
+}
+
+func (l *leadership) removeNode(name string) {
+	if n := l.nodes[name]; n != nil {
+		l.removeWorkers(n)
+		delete(l.nodes, name)
+	}
+}
+
+func (s *serviceState) list() []*schema.Worker {
+	list := slices.Collect(maps.Values(s.workers))
+	slices.SortFunc(list, func(a, b *schema.Worker) int { return strings.Compare(a.GetNode(), b.GetNode()) })
+	return list
+}
+
+// isComplete reports whether every live node has had time to tell its state.
+func (l *leadership) isComplete(now time.Time) bool {
+	return now.Sub(l.began) >= gatherTime
+}
--- /dev/null
+++ b/internal/controller/sync.go
@@ -0,0 +1,115 @@
+package controller
+
+import (
+	"context"
+	"time"
+
+	"github.com/lavenderhub/lavenderhub/internal/asserter"
+	"github.com/lavenderhub/lavenderhub/internal/limiter"
+	"github.com/lavenderhub/lavenderhub/schema"
+)
+
+// Bounds on the exchanges a second of one node that is short of tokens, and of the whole fleet.
+const (
+	minExchangeRate   = 4
+	maxExchangeRate   = 50
+	fleetExchangeRate = 8000
+)
+
+// Sync serves a node's exchange; it implements the Control service.
+func (c *Controller) Sync(ctx context.Context, req *schema.SyncRequest) (*schema.SyncReply, error) {
+	began := c.timer.Now()
+	var reply *schema.SyncReply
+	if err := c.do(ctx, func(now time.Time) { reply = c.sync(req, now) }); err != nil {
+		return nil, err
+	}
+	c.meter.syncs.UpdateSince(began)
+	return reply, nil
+}
+
+func (c *Controller) sync(req *schema.SyncRequest, now time.Time) *schema.SyncReply {
+	reply := &schema.SyncReply{
+		Status: schema.ReplyStatus_REPLY_STATUS_NOT_LEADER, LeaderAddress: c.leaderAddress(),
+		ControlAddresses: c.controlAddresses(),
+	}
+	if c.leading == nil {
+		return reply
+	}
+	if !c.core.IsLeading(now) || req.GetHaveRevision() > c.machine.Revision() {
+		// Without its quorum the leader's word may be out of date.
+		reply.Status = schema.ReplyStatus_REPLY_STATUS_NOT_CONFIRMED
+		return reply
+	}
+	age := now.Sub(c.core.Status().Confirmed)
+	c.assert.Check(asserter.FreshWhenKeyed, age >= 0, "")
+	reply.Status = schema.ReplyStatus_REPLY_STATUS_OK
+	reply.Epoch = c.leading.term
+	reply.Revision = c.machine.Revision()
+	reply.AgeMicros = uint64(age.Microseconds())
+	reply.Delta = c.machine.Delta(req.GetHaveRevision())
+	c.leading.exchange(req, reply, now)
+	return reply
+}
+
+// exchange takes in a node's state and adds memberships and grants to the reply.
+func (l *leadership) exchange(req *schema.SyncRequest, reply *schema.SyncReply, now time.Time) {
+	if req.GetLeaving() {
+		l.removeNode(req.GetNode())
+	} else {
+		l.noteNode(req, now)
+	}
+	reply.ExchangeRate = min(maxExchangeRate, max(minExchangeRate, fleetExchangeRate/float64(max(1, len(l.nodes)))))
+	reply.MembershipComplete = l.isComplete(now)
+	for _, w := range req.GetWatches() {
+		s := l.services[w.GetService()]
+		if s == nil {
+			s = &serviceState{}
+		}
+		if s.fingerprint != w.GetFingerprint() {
+			reply.Memberships = append(reply.Memberships, &schema.Membership{Service: w.GetService(), Workers: s.list()})
+		}
+	}
+	if req.GetEpoch() != l.term {
+		return
+	}
+	h := limiter.Holder{Node: req.GetNode(), Incarnation: req.GetIncarnation()}
+	for _, d := range req.GetDemands() {
+		g, ok := l.owner.Draw(h, limiter.Ask{
+			Account: d.GetAccount(), Rate: d.GetRate(), Want: d.GetWant(), Settled: d.GetSettled(), Unspent: d.GetUnspent(),
+		}, now)
+		if !ok {
+			continue
+		}
+		reply.Grants = append(reply.Grants, &schema.Grant{
+			Account: g.Account, Tokens: g.Tokens, End: g.End, FleetDemand: g.FleetDemand,
+		})
+	}
+}
+
+func (c *Controller) controlAddresses() []string {
+	var out []string
+	for _, r := range c.core.Status().Replicas {
+		if !r.GetLearner() {
+			out = append(out, r.GetAddress())
+		}
+	}
+	return out
+}
+
+// Claim reserves an idempotency key; it implements the Control service.
+func (c *Controller) Claim(ctx context.Context, req *schema.ClaimRequest) (*schema.ClaimReply, error) {
+	return c.changeClaim(ctx, &schema.ClaimChange{
+		Account: req.GetAccount(), IdempotencyKey: req.GetIdempotencyKey(), Fingerprint: req.GetFingerprint(), Attempt: req.GetAttempt(),
+	}), nil
+}
+
+// Settle records the outcome of a claimed request; it implements the Control service.
+func (c *Controller) Settle(ctx context.Context, req *schema.SettleRequest) (*schema.SettleReply, error) {
+	ch := &schema.ClaimChange{
+		Account: req.GetAccount(), IdempotencyKey: req.GetIdempotencyKey(), Attempt: req.GetAttempt(), Settle: true, NotRun: req.GetNotRun(),
+	}
+	if a := req.GetAnswer(); a != nil {
+		ch.Answer = &schema.ClaimAnswer{Status: a.GetStatus(), ContentType: a.GetContentType(), Body: a.GetBody()}
+	}
+	return &schema.SettleReply{Status: c.changeClaim(ctx, ch).GetStatus()}, nil
+}
--- /dev/null
+++ b/internal/dialer/server.go
@@ -0,0 +1,95 @@
+package dialer
+
+import (
+	"context"
+	"crypto/tls"
+	"net"
+	"net/http"
+	"net/netip"
+
+	"github.com/pkg/errors"
+	"gopkg.in/tomb.v2"
+)
+
+// Audience tells who connects to a server.
+type Audience int
+
+// Audiences.
+const (
+	// Callers use HTTP/1.1 or HTTP/2 without TLS of ours.
+	Callers Audience = iota
+	// Peers are processes of the fleet; with TLS they show a certificate.
+	Peers
+	// Operators use HTTP/1.1 or HTTP/2; with TLS the server shows its certificate.
+	Operators
+)
+
+// Server is a listening HTTP server.
+type Server struct {
+	http     *http.Server
+	listener net.Listener
+}
+
+// Open listens on an address. Port zero lets the system choose a port.
+func Open(addr netip.AddrPort) (net.Listener, error) {
+	ln, err := net.Listen("tcp", addr.String())
+	return ln, errors.Wrapf(err, "listen on %s", addr)
+}
+
+// Listen opens an address and serves a handler on it within the tomb.
+func (s *Security) Listen(t *tomb.Tomb, addr netip.AddrPort, audience Audience, h http.Handler) (*Server, error) {
+	ln, err := Open(addr)
+	if err != nil {
+		return nil, err
+	}
+	return s.Serve(t, ln, audience, h), nil
+}
+
+// Serve serves a handler on an open listener within the tomb.
+func (s *Security) Serve(t *tomb.Tomb, ln net.Listener, audience Audience, h http.Handler) *Server {
+	var protocols http.Protocols
+	protocols.SetHTTP1(true)
+	protocols.SetHTTP2(true)
+	protocols.SetUnencryptedHTTP2(true)
+	srv := &http.Server{
+		Handler:           h,
+		Protocols:         &protocols,
+		HTTP2:             http2Config(),
+		ReadHeaderTimeout: headerTimeout,
+		IdleTimeout:       idleTimeout,
+		MaxHeaderBytes:    MaxHeaderBytes,
+	}
+	serving := ln
+	if s.cfg != nil && audience != Callers {
+		serving = tls.NewListener(ln, s.serverConfig(audience == Peers))
+	}
+	t.Go(func() error {
+		if err := srv.Serve(serving); err != nil && !errors.Is(err, http.ErrServerClosed) {
+			return errors.Wrapf(err, "serve on %s", ln.Addr())
+		}
+		return nil
+	})
+	return &Server{http: srv, listener: ln}
+}
+
+// Addr returns the address that the server listens on.
+func (s *Server) Addr() netip.AddrPort {
+	addr, _ := netip.ParseAddrPort(s.listener.Addr().String())
+	return addr
+}
+
+// Shutdown stops listening, lets requests in progress end and closes connections. It returns the context's error
+// when that ends first.
+func (s *Server) Shutdown(ctx context.Context) error {
+	return s.http.Shutdown(ctx)
+}
+
+// Close cuts all connections.
+func (s *Server) Close() error {
+	return s.http.Close()
+}
+
+// SetKeepAlives tells whether HTTP/1.1 connections stay open after an answer.
+func (s *Server) SetKeepAlives(on bool) {
+	s.http.SetKeepAlivesEnabled(on)
+}
--- /dev/null
+++ b/internal/exporter/exporter.go
@@ -0,0 +1,79 @@
+// Package exporter writes metrics in the text form that Prometheus scrapes.
+package exporter
+
+import (
+	"fmt"
+	"io"
+	"sort"
+	"strings"
+	"unicode"
+
+	"github.com/rcrowley/go-metrics"
+
+	"github.com/lavenderhub/lavenderhub/internal/asserter"
+)
+
+const namePrefix = "lavenderhub_"
+
+// quantiles are the parts of a distribution that are written.
+var quantiles = []float64{0.5, 0.99, 0.999}
+
+// Write writes all metrics of a registry and the counts of the invariants.
+func Write(w io.Writer, r metrics.Registry, a *asserter.Asserter) error {
+	var lines []string
+	r.Each(func(name string, metric any) {
+		lines = append(lines, linesOf(nameOf(name), metric)...)
+	})
+	for _, c := range a.Counts() {
+		lines = append(lines,
+			fmt.Sprintf("%sinvariant_checked_total{invariant=%q} %d", namePrefix, c.Invariant, c.Checked),
+			fmt.Sprintf("%sinvariant_broken_total{invariant=%q} %d", namePrefix, c.Invariant, c.Broken))
+	}
+	sort.Strings(lines)
+	_, err := io.WriteString(w, strings.Join(lines, "\n")+"\n")
+	return err
+}
+
+func linesOf(name string, metric any) []string {
+	switch m := metric.(type) {
+	case metrics.Counter:
+		return []string{fmt.Sprintf("%s_total %d", name, m.Count())}
+	case metrics.Gauge:
+		return []string{fmt.Sprintf("%s %d", name, m.Value())}
+	case metrics.GaugeFloat64:
+		return []string{fmt.Sprintf("%s %g", name, m.Value())}
+	case metrics.Timer:
+		return timerLines(name, m.Snapshot())
+	default:
+		return nil
+	}
+}
+
+func timerLines(name string, m metrics.Timer) []string {
+	lines := []string{
+		fmt.Sprintf("%s_seconds_count %d", name, m.Count()),
+		fmt.Sprintf("%s_seconds_sum %g", name, float64(m.Sum())/1e9),
+	}
+	for i, v := range m.Percentiles(quantiles) {
+		lines = append(lines, fmt.Sprintf("%s_seconds{quantile=\"%g\"} %g", name, quantiles[i], v/1e9))
+	}
+	return lines
+}
+
+// nameOf turns a name such as sync.bytesSent into lavenderhub_sync_bytes_sent.
+func nameOf(name string) string {
+	var b strings.Builder
+	b.WriteString(namePrefix)
+	for _, r := range name {
+		switch {
+		case unicode.IsUpper(r):
+			b.WriteByte('_')
+			b.WriteRune(unicode.ToLower(r))
+		case unicode.IsLetter(r) || unicode.IsDigit(r):
+			b.WriteRune(r)
+		default:
+			b.WriteByte('_')
+		}
+	}
+	return b.String()
+}
--- /dev/null
+++ b/internal/forwarder/dispatch.go
@@ -0,0 +1,148 @@
+package forwarder
+
+import (
+	"context"
+	"net/http"
+
+	"github.com/lavenderhub/lavenderhub/internal/asserter"
+	"github.com/lavenderhub/lavenderhub/internal/refuser"
+	"github.com/lavenderhub/lavenderhub/internal/router"
+)
+
+// maxReroutes bounds how often a call that was not run goes to another worker, at one hop.
+const maxReroutes = 2
+
+// attempts counts what one hop has done for a call.
+type attempts struct {
+	tried    []*router.Target
+	retries  uint32
+	reroutes int
+}
+
+// dispatch sends a call to a worker of its service, and to others while that is allowed. Exactly one of the results
+// is set.
+func (f *Forwarder) dispatch(ctx context.Context, c *call) (*answer, *refuser.Refusal) {
+	if ref := f.shedEarly(c); ref != nil {
+		return nil, ref
+	}
+	var done attempts
+	t := f.pick(c, nil)
+	if t == nil {
+		return nil, noUpstream()
+	}
+	for {
+		done.tried = append(done.tried, t)
+		f.Assert.Check(asserter.RunsAtMostOnce, c.idempotent || !c.ran, "")
+		a, ref := f.attempt(ctx, c, t)
+		if a != nil && !a.isRetryable() {
+			f.succeed(c, a)
+			return a, nil
+		}
+		next := f.pick(c, done.tried)
+		if next == nil || !f.mayGoOn(ctx, c, &done, a, ref) {
+			return a, f.settleOutcome(c, ref)
+		}
+		if a != nil {
+			a.close()
+		}
+		t = next
+	}
+}
+
+// shedEarly refuses a call that every worker would shed, here or deeper in the graph.
+func (f *Forwarder) shedEarly(c *call) *refuser.Refusal {
+	if f.controls.NoEntryShedding {
+		return nil
+	}
+	level := f.levels.Of(c.route.Service, c.route.Name, f.Timer.Now())
+	if uint32(c.rank) >= level {
+		return nil
+	}
+	return overloaded()
+}
+
+func overloaded() *refuser.Refusal {
+	return refuser.NewRetryable(refuser.NotRun, refuser.Overloaded, "no capacity for a request of this priority", retryAfterShed)
+}
+
+func noUpstream() *refuser.Refusal {
+	return refuser.NewRetryable(refuser.NotRun, refuser.NoUpstream, "no upstream of the service is ready", retryAfterShed)
+}
+
+func (f *Forwarder) pick(c *call, tried []*router.Target) *router.Target {
+	up := f.Announcer.Upstream(c.route.Service)
+	return f.Router.Pick(c.route.Service, tried, up != nil && up.Gate.HasRoom(), f.Timer.Now())
+}
+
+// settleOutcome makes a refusal true for the call as a whole: an earlier attempt may have run.
+func (f *Forwarder) settleOutcome(c *call, ref *refuser.Refusal) *refuser.Refusal {
+	if ref == nil {
+		return nil
+	}
+	if c.ran && ref.Outcome == refuser.NotRun {
+		fixed := *ref
+		fixed.Outcome = refuser.Unknown
+		ref = &fixed
+	}
+	f.Assert.Check(asserter.NotRunIsTrue, ref.Outcome != refuser.NotRun || !c.ran, "")
+	return ref
+}
+
+// mayGoOn decides whether a call goes to another worker after a refusal, or after an answer that asks for a retry.
+func (f *Forwarder) mayGoOn(ctx context.Context, c *call, done *attempts, a *answer, ref *refuser.Refusal) bool {
+	if ctx.Err() != nil {
+		return false
+	}
+	if a != nil {
+		return f.mayRetry(c, done, a.report.final)
+	}
+	if ref.Outcome == refuser.NotRun {
+		return f.mayReroute(done, ref)
+	}
+	return ref.Reason == refuser.UpstreamBroke && f.mayRetry(c, done, ref.Final)
+}
+
+// mayReroute allows another worker for a call that no upstream has seen.
+func (f *Forwarder) mayReroute(done *attempts, ref *refuser.Refusal) bool {
+	limit := maxReroutes
+	switch ref.Reason {
+	case refuser.Draining, refuser.NotReady, refuser.NoUpstream:
+	case refuser.Overloaded:
+		limit = 1
+	default:
+		return false
+	}
+	if ref.Final || done.reroutes >= limit {
+		return false
+	}
+	done.reroutes++
+	f.meters.reroute.Inc(1)
+	return true
+}
+
+// mayRetry allows another attempt for a call that may have run: only here, right above the failure, within the root
+// call's budget and within the ratios to successes.
+func (f *Forwarder) mayRetry(c *call, done *attempts, final bool) bool {
+	if !c.idempotent {
+		return false
+	}
+	if f.controls.NoRetryBounds {
+		done.retries++
+		return done.retries <= c.route.Retries
+	}
+	if final || !f.ratios.TakeBoth("account/"+c.account, "service/"+c.route.Service) || !c.budget.Take() {
+		return false
+	}
+	done.retries++
+	f.meters.retries.Inc(1)
+	return true
+}
+
+// succeed earns retries for the account and the service.
+func (f *Forwarder) succeed(c *call, a *answer) {
+	if a.status >= http.StatusInternalServerError {
+		return
+	}
+	f.ratios.Of("account/" + c.account).Succeed()
+	f.ratios.Of("service/" + c.route.Service).Succeed()
+}
--- /dev/null
+++ b/internal/forwarder/peer.go
@@ -0,0 +1,94 @@
+package forwarder
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"time"
+
+	"github.com/lavenderhub/lavenderhub/internal/admitter"
+	"github.com/lavenderhub/lavenderhub/internal/authenticator"
+	"github.com/lavenderhub/lavenderhub/internal/dialer"
+	"github.com/lavenderhub/lavenderhub/internal/refuser"
+	"github.com/lavenderhub/lavenderhub/internal/resolver"
+	"github.com/lavenderhub/lavenderhub/internal/retrier"
+	"github.com/lavenderhub/lavenderhub/schema"
+)
+
+// ServePeer serves calls from other nodes to this node's own upstream.
+func (f *Forwarder) ServePeer(w http.ResponseWriter, r *http.Request) {
+	if r.URL.Path == dialer.PingPath {
+		w.WriteHeader(http.StatusNoContent)
+		return
+	}
+	f.active.Add(1)
+	defer f.active.Add(-1)
+	f.meters.hops.Inc(1)
+	a, ref, p := f.runForPeer(r)
+	p.write(w.Header())
+	if ref != nil {
+		f.refuse(w, ref)
+		return
+	}
+	f.write(w, r, a)
+}
+
+// runForPeer checks a call from another node and runs it.
+func (f *Forwarder) runForPeer(r *http.Request) (*answer, *refuser.Refusal, report) {
+	none := report{hasSpent: true}
+	view := f.Control.View()
+	if view == nil {
+		return nil, notReady(), none
+	}
+	token, err := authenticator.Verify(r.Header.Get(headerHop), view.TokenKey)
+	if err != nil {
+		return nil, refuser.New(refuser.NotRun, refuser.Unauthorized, err.Error()), none
+	}
+	c, ref := f.newFromPeer(r, token, view)
+	if ref != nil {
+		return nil, ref, none
+	}
+	up := f.Announcer.Upstream(token.GetService())
+	if up == nil {
+		return nil, refuser.New(refuser.NotRun, refuser.NoUpstream, "no upstream of the service is beside this node"), none
+	}
+	ctx, cancel := context.WithDeadline(r.Context(), c.deadline)
+	a, ref, p := f.runUpstream(ctx, c, up)
+	if a == nil || a.isWhole() {
+		cancel()
+		return a, ref, p
+	}
+	a.more = &closingBody{ReadCloser: a.more, onClose: cancel}
+	return a, ref, p
+}
+
+func (f *Forwarder) newFromPeer(r *http.Request, token *schema.HopToken, view *resolver.View) (*call, *refuser.Refusal) {
+	if ref := f.checkInherited(token.GetAccount(), token.GetKeyId()); ref != nil {
+		return nil, ref
+	}
+	service, target := splitTarget(r)
+	if service != token.GetService() {
+		return nil, refuser.New(refuser.NotRun, refuser.Unauthorized, "the request token is for another service")
+	}
+	body, err := io.ReadAll(io.LimitReader(r.Body, f.bodyLimit+1))
+	if err != nil || int64(len(body)) > f.bodyLimit {
+		return nil, refuser.New(refuser.NotRun, refuser.BodyTooLarge, "the body broke off or is over the limit")
+	}
+	route := *view.Route(service, target)
+	route.Name = token.GetRoute()
+	return &call{
+		id:         token.GetRequestId(),
+		route:      &route,
+		method:     r.Method,
+		target:     target,
+		header:     passOn(r.Header),
+		body:       body,
+		account:    token.GetAccount(),
+		keyID:      token.GetKeyId(),
+		rank:       admitter.Rank(token.GetRank()),
+		deadline:   f.Timer.Now().Add(time.Duration(token.GetRemainingMicros()) * time.Microsecond),
+		budget:     retrier.NewBudget(token.GetRetries()),
+		idempotent: token.GetIdempotent(),
+		depth:      token.GetDepth(),
+	}, nil
+}
--- /dev/null
+++ b/internal/limiter/bucket.go
@@ -0,0 +1,243 @@
+package limiter
+
+import (
+	"context"
+	"math"
+	"sync"
+	"time"
+
+	"github.com/lavenderhub/lavenderhub/internal/asserter"
+	"github.com/lavenderhub/lavenderhub/internal/timer"
+)
+
+const (
+	// horizon is how much demand a node keeps tokens for.
+	horizon = 1500 * time.Millisecond
+	// renewAhead is how long before its end a batch no longer counts towards the tokens held.
+	renewAhead = 1200 * time.Millisecond
+	// idleLifetime is how long a node keeps tokens for an account that sends nothing.
+	idleLifetime = 20 * time.Second
+	// demandWindow is the time constant of the demand's moving average.
+	demandWindow = time.Second
+	// MaxWait is the longest time that a request waits for a token.
+	MaxWait = 150 * time.Millisecond
+)
+
+// Decision is the outcome of asking for a token.
+type Decision int
+
+// Decisions of a Bucket.
+const (
+	// Admitted: the request may start.
+	Admitted Decision = iota
+	// OverRate: no token came within the wait.
+	OverRate
+	// Canceled: the caller went away.
+	Canceled
+)
+
+// Bucket spends one account's tokens at one node. It is safe for concurrent use.
+type Bucket struct {
+	timer  *timer.Service
+	assert *asserter.Asserter
+	kick   func()
+
+	mu          sync.Mutex
+	epoch       uint64
+	batches     []nodeBatch
+	end         float64
+	settled     float64
+	unspent     float64
+	waiters     []chan struct{}
+	demand      float64
+	counted     time.Time
+	fleetDemand float64
+	asked       time.Time
+}
+
+// nodeBatch is a grant as the node holds it.
+type nodeBatch struct {
+	epoch   uint64
+	tokens  float64
+	end     float64
+	expires time.Time
+}
+
+// NewBucket returns an empty bucket. It calls kick when tokens are needed before the next exchange.
+func NewBucket(t *timer.Service, assert *asserter.Asserter, kick func()) *Bucket {
+	return &Bucket{timer: t, assert: assert, kick: kick, counted: t.Now(), asked: t.Now()}
+}
+
+// Take spends one token. It waits for at most the given time when none is there.
+func (b *Bucket) Take(ctx context.Context, wait time.Duration) Decision {
+	b.mu.Lock()
+	now := b.timer.Now()
+	b.count(now)
+	b.asked = now
+	if len(b.waiters) == 0 && b.spend(now) {
+		b.mu.Unlock()
+		return Admitted
+	}
+	ready := make(chan struct{}, 1)
+	b.waiters = append(b.waiters, ready)
+	b.mu.Unlock()
+	b.kick()
+	return b.await(ctx, ready, min(wait, MaxWait))
+}
+
+func (b *Bucket) await(ctx context.Context, ready chan struct{}, wait time.Duration) Decision {
+	sub := b.timer.After(wait)
+	defer sub.Stop()
+	decision := Admitted
+	select {
+	case <-ready:
+		return Admitted
+	case <-sub.C:
+		decision = OverRate
+	case <-ctx.Done():
+		decision = Canceled
+	}
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	for i, w := range b.waiters {
+		if w == ready {
+			b.waiters = append(b.waiters[:i], b.waiters[i+1:]...)
+			return decision
+		}
+	}
+	// The token was handed over while the wait ended.
+	return Admitted
+}
+
+// count adds one arrival to the moving average of the demand.
+func (b *Bucket) count(now time.Time) {
+	b.decay(now)
+	b.demand += 1 / demandWindow.Seconds()
+}
+
+func (b *Bucket) decay(now time.Time) {
+	if dt := now.Sub(b.counted); dt > 0 {
+		b.demand *= math.Exp(-dt.Seconds() / demandWindow.Seconds())
+		b.counted = now
+	}
+}
+
+// spend takes one token from the batches that expire first. A token may be put together from several batches.
+func (b *Bucket) spend(now time.Time) bool {
+	b.drop(now)
+	if b.held(now) < 1 {
+		return false
+	}
+	need := 1.0
+	for need > 0 && len(b.batches) > 0 {
+		first := &b.batches[0]
+		part := min(need, first.tokens)
+		first.tokens -= part
+		need -= part
+		b.settle(*first)
+		if first.tokens <= tolerance {
+			b.batches = b.batches[1:]
+		}
+	}
+	b.assert.Check(asserter.SpentWithinGrant, need <= tolerance && b.settled <= b.end+tolerance, "")
+	return true
+}
+
+// settle reports everything before what is left of a batch as settled.
+func (b *Bucket) settle(first nodeBatch) {
+	if first.epoch == b.epoch {
+		b.settled = max(b.settled, first.end-first.tokens)
+	}
+}
+
+// drop gives up the batches that expired.
+func (b *Bucket) drop(now time.Time) {
+	for len(b.batches) > 0 && !now.Before(b.batches[0].expires) {
+		first := b.batches[0]
+		b.batches = b.batches[1:]
+		if first.epoch == b.epoch {
+			b.unspent += first.tokens
+		}
+		first.tokens = 0
+		b.settle(first)
+	}
+}
+
+func (b *Bucket) held(until time.Time) float64 {
+	total := 0.0
+	for _, one := range b.batches {
+		if until.Before(one.expires) {
+			total += one.tokens
+		}
+	}
+	return total
+}
+
+// Ask returns what to send to the owner of an epoch. It returns false when there is nothing to say.
+func (b *Bucket) Ask(account string, epoch uint64) (Ask, bool) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	now := b.timer.Now()
+	if epoch != b.epoch {
+		// The new owner counts what is held from the old epoch as carried.
+		b.epoch, b.end, b.settled, b.unspent = epoch, 0, 0, 0
+	}
+	b.drop(now)
+	b.decay(now)
+	idle := now.Sub(b.asked) > idleLifetime
+	if idle && len(b.batches) == 0 {
+		return Ask{}, false
+	}
+	want := 0.0
+	if !idle {
+		target := 1 + math.Ceil(b.demand*horizon.Seconds()) + float64(len(b.waiters))
+		want = max(0, target-b.held(now.Add(renewAhead)))
+	}
+	return Ask{Account: account, Rate: b.demand, Want: want, Settled: b.settled, Unspent: b.unspent}, true
+}
+
+// IsIdle reports whether the bucket may be forgotten.
+func (b *Bucket) IsIdle() bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return len(b.waiters) == 0 && len(b.batches) == 0 && b.timer.Since(b.asked) > 2*idleLifetime
+}
+
+// Add takes in a grant of an epoch that was asked for at a time, and wakes waiting requests.
+func (b *Bucket) Add(g Grant, epoch uint64, asked time.Time) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.fleetDemand = g.FleetDemand
+	if epoch != b.epoch || g.End <= b.end {
+		return
+	}
+	b.end = g.End
+	now := b.timer.Now()
+	one := nodeBatch{epoch: epoch, tokens: g.Tokens, end: g.End, expires: asked.Add(GrantLifetime)}
+	if len(b.batches) == 0 {
+		// Batches that were granted but never arrived lie before this one.
+		b.settled = max(b.settled, one.end-one.tokens)
+	}
+	b.batches = append(b.batches, one)
+	for len(b.waiters) > 0 && b.spend(now) {
+		b.waiters[0] <- struct{}{}
+		b.waiters = b.waiters[1:]
+	}
+}
+
+// Return gives up all tokens, before a planned stop.
+func (b *Bucket) Return() {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	for i := range b.batches {
+		b.batches[i].expires = time.Time{}
+	}
+	b.drop(b.timer.Now())
+}
+
+// FleetDemand returns the account's demand over the whole fleet in requests a second, as last heard.
+func (b *Bucket) FleetDemand() float64 {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return max(b.fleetDemand, b.demand)
+}
--- /dev/null
+++ b/internal/refuser/refusal.go
@@ -0,0 +1,171 @@
+// Package refuser holds the outcomes of requests and writes the answers that the program makes itself.
+package refuser
+
+import (
+	"encoding/json"
+	"io"
+	"math/rand/v2"
+	"net/http"
+	"strconv"
+	"time"
+)
+
+// Outcome tells what became of a request.
+type Outcome string
+
+// Outcomes. A refusal never says NotRun once a byte of the request may have reached an upstream.
+const (
+	// Whole: the upstream's whole answer reached the caller.
+	Whole Outcome = "whole"
+	// NotRun: no upstream saw the request.
+	NotRun Outcome = "notRun"
+	// Unknown: an upstream may have run the request.
+	Unknown Outcome = "unknown"
+	// AlreadyRun: an earlier request with the same idempotency key ran.
+	AlreadyRun Outcome = "alreadyRun"
+	// Failed: the upstream ran the request and its answer broke.
+	Failed Outcome = "failed"
+)
+
+// Reason tells why a request was refused or failed.
+type Reason string
+
+// Reasons.
+const (
+	RateLimited           Reason = "rateLimited"
+	Overloaded            Reason = "overloaded"
+	Unauthorized          Reason = "unauthorized"
+	Draining              Reason = "draining"
+	DeadlineExceeded      Reason = "deadlineExceeded"
+	NoUpstream            Reason = "noUpstream"
+	UnknownService        Reason = "unknownService"
+	RetryBudgetSpent      Reason = "retryBudgetSpent"
+	NotReady              Reason = "notReady"
+	UpstreamBroke         Reason = "upstreamBroke"
+	BadRequest            Reason = "badRequest"
+	BodyTooLarge          Reason = "bodyTooLarge"
+	InProgress            Reason = "inProgress"
+	Settled               Reason = "settled"
+	IdempotencyKeyReused  Reason = "idempotencyKeyReused"
+	IdempotencyKeyExpired Reason = "idempotencyKeyExpired"
+	CallerLeft            Reason = "callerLeft"
+)
+
+// Names of the headers that describe an outcome.
+const (
+	HeaderOutcome = "Lavenderhub-Outcome"
+	HeaderReason  = "Lavenderhub-Reason"
+)
+
+// statusClientClosed is the status logged for a caller that went away; nobody receives it.
+const statusClientClosed = 499
+
+// Refusal is an answer made by the program in place of an upstream's.
+type Refusal struct {
+	Status     int
+	Outcome    Outcome
+	Reason     Reason
+	Message    string
+	RetryAfter time.Duration
+	// Final tells that the work below was retried already, or failed below: the hop above must not retry.
+	Final bool
+}
+
+// New returns a refusal with the status that belongs to the reason.
+func New(outcome Outcome, reason Reason, message string) *Refusal {
+	return &Refusal{Status: statusOf(reason), Outcome: outcome, Reason: reason, Message: message}
+}
+
+// NewRetryable returns a refusal that asks the caller to come back after a time.
+func NewRetryable(outcome Outcome, reason Reason, message string, after time.Duration) *Refusal {
+	r := New(outcome, reason, message)
+	r.RetryAfter = after
+	return r
+}
+
+func statusOf(reason Reason) int {
+	switch reason {
+	case RateLimited:
+		return http.StatusTooManyRequests
+	case Unauthorized:
+		return http.StatusUnauthorized
+	case DeadlineExceeded:
+		return http.StatusGatewayTimeout
+	case UpstreamBroke:
+		return http.StatusBadGateway
+	case BadRequest:
+		return http.StatusBadRequest
+	case BodyTooLarge:
+		return http.StatusRequestEntityTooLarge
+	case UnknownService:
+		return http.StatusNotFound
+	case InProgress, Settled:
+		return http.StatusConflict
+	case IdempotencyKeyReused, IdempotencyKeyExpired:
+		return http.StatusUnprocessableEntity
+	case CallerLeft:
+		return statusClientClosed
+	default:
+		return http.StatusServiceUnavailable
+	}
+}
+
+// body is the JSON body of a refusal.
+type body struct {
+	Outcome Outcome `json:"outcome"`
+	Reason  Reason  `json:"reason"`
+	Message string  `json:"message"`
+}
+
+// Write sends the refusal.
+func (r *Refusal) Write(w http.ResponseWriter) {
+	data, _ := json.Marshal(body{Outcome: r.Outcome, Reason: r.Reason, Message: r.Message})
+	h := w.Header()
+	h.Set("Content-Type", "application/json")
+	h.Set("Content-Length", strconv.Itoa(len(data)))
+	h.Set(HeaderOutcome, string(r.Outcome))
+	h.Set(HeaderReason, string(r.Reason))
+	if r.Reason == Unauthorized {
+		h.Set("WWW-Authenticate", `Bearer realm="lavenderhub"`)
+	}
+	if r.RetryAfter > 0 {
+		h.Set("Retry-After", strconv.Itoa(retryAfterSeconds(r.RetryAfter)))
+	}
+	w.WriteHeader(r.Status)
+	_, _ = w.Write(data)
+}
+
+// maxRead bounds a refusal's body in bytes.
+const maxRead = 4096
+
+// Read returns the refusal in another node's answer, and closes the answer.
+func Read(resp *http.Response) *Refusal {
+	defer func() { _ = resp.Body.Close() }()
+	var b body
+	data, err := io.ReadAll(io.LimitReader(resp.Body, maxRead))
+	if err == nil {
+		// The headers say all that decisions need; a broken body loses only the message.
+		_ = json.Unmarshal(data, &b)
+	}
+	r := &Refusal{
+		Status:  resp.StatusCode,
+		Outcome: Outcome(resp.Header.Get(HeaderOutcome)),
+		Reason:  Reason(resp.Header.Get(HeaderReason)),
+		Message: b.Message,
+	}
+	if s, err := strconv.Atoi(resp.Header.Get("Retry-After")); err == nil {
+		r.RetryAfter = time.Duration(s) * time.Second
+	}
+	return r
+}
+
+// retryAfterSeconds rounds up, and spreads callers over one second more so that they don't return together.
+func retryAfterSeconds(d time.Duration) int {
+	seconds := int((d + time.Second - 1) / time.Second)
+	return seconds + rand.IntN(2)
+}
+
+// IsRun reports whether an upstream may have seen the request.
+func (r *Refusal) IsRun() bool {
+	return r.Outcome != NotRun
+}
--- /dev/null
+++ b/internal/resolver/tree.go
@@ -0,0 +1,103 @@
+package resolver
+
+import (
+	"strings"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+	"google.golang.org/protobuf/reflect/protoreflect"
+	"google.golang.org/protobuf/types/known/durationpb"
+
+	"github.com/lavenderhub/lavenderhub/schema"
+)
+
+// Values in force where no branch sets any.
+const (
+	defaultRate             = 100.0
+	defaultBurst            = 100.0
+	defaultPriority         = 7
+	defaultImportance       = 3
+	defaultTimeout          = 10 * time.Second
+	defaultRetries          = 2
+	defaultObjective        = 0.999
+	defaultObjectiveLatency = time.Second
+)
+
+// DefaultPath is the origin of values that no branch sets.
+const DefaultPath = "default"
+
+func defaults() *schema.Policy {
+	return &schema.Policy{
+		Rate:             proto.Float64(defaultRate),
+		Burst:            proto.Float64(defaultBurst),
+		Priority:         proto.Uint32(defaultPriority),
+		Importance:       proto.Uint32(defaultImportance),
+		Timeout:          durationpb.New(defaultTimeout),
+		Open:             proto.Bool(false),
+		Retries:          proto.Uint32(defaultRetries),
+		Objective:        proto.Float64(defaultObjective),
+		ObjectiveLatency: durationpb.New(defaultObjectiveLatency),
+	}
+}
+
+// Chain returns the branches from the root down to path. The group is that of a client account's branch.
+func Chain(path, group string) []string {
+	chain := []string{RootPath}
+	if path == RootPath {
+		return chain
+	}
+	if strings.HasPrefix(path, "account/") && group != "" {
+		chain = append(chain, GroupPath(group))
+	}
+	if service, _, ok := strings.Cut(path, "/route/"); ok {
+		chain = append(chain, service)
+	}
+	return append(chain, path)
+}
+
+// Effective holds the values in force on a branch and the branch that each comes from.
+type Effective struct {
+	Policy  *schema.Policy
+	Origins []*schema.Origin
+}
+
+// Lookup returns a branch, or nil.
+type Lookup func(path string) *schema.Branch
+
+// Resolve works out the values in force on path.
+func Resolve(lookup Lookup, path, group string) Effective {
+	e := Effective{Policy: defaults()}
+	origins := map[string]string{}
+	mark(e.Policy, DefaultPath, origins)
+	for _, p := range Chain(path, group) {
+		b := lookup(p)
+		if b == nil || b.GetRemoved() || b.GetPolicy() == nil {
+			continue
+		}
+		Merge(e.Policy, b.GetPolicy())
+		mark(b.GetPolicy(), p, origins)
+	}
+	fields := e.Policy.ProtoReflect().Descriptor().Fields()
+	for i := range fields.Len() {
+		name := fields.Get(i).JSONName()
+		if from, ok := origins[name]; ok {
+			e.Origins = append(e.Origins, &schema.Origin{Field: name, Path: from})
+		}
+	}
+	return e
+}
+
+// Merge sets in dst the values that are present in src.
+func Merge(dst, src *schema.Policy) {
+	src.ProtoReflect().Range(func(fd protoreflect.FieldDescriptor, v protoreflect.Value) bool {
+		dst.ProtoReflect().Set(fd, v)
+		return true
+	})
+}
+
+func mark(p *schema.Policy, path string, origins map[string]string) {
+	p.ProtoReflect().Range(func(fd protoreflect.FieldDescriptor, _ protoreflect.Value) bool {
+		origins[fd.JSONName()] = path
+		return true
+	})
+}
--- /dev/null
+++ b/internal/router/target.go
@@ -0,0 +1,144 @@
+// Package router chooses the worker that a call goes to.
+package router
+
+import (
+	"math"
+	"net/netip"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/lavenderhub/lavenderhub/schema"
+)
+
+const (
+	// latencyWeight is the weight of a new sample in a worker's mean latency.
+	latencyWeight = 0.1
+	// ejectAfter is the number of failures in a row after which a worker is left out.
+	ejectAfter = 5
+	// firstEjection is how long a worker is left out for the first time; it doubles up to lastEjection.
+	firstEjection = time.Second
+	lastEjection  = 30 * time.Second
+	// loadLifetime is how long a reported load is believed.
+	loadLifetime = time.Second
+	// startLatency is assumed of a worker that was not measured yet.
+	startLatency = time.Millisecond
+)
+
+// Target is one worker as this node knows it. It is safe for concurrent use.
+type Target struct {
+	Node    string
+	Address netip.AddrPort
+	Domain  string
+	Region  string
+	// Local tells that the worker is this node's own upstream.
+	Local bool
+
+	slots    atomic.Uint32
+	ready    atomic.Bool
+	inflight atomic.Int32
+
+	mu        sync.Mutex
+	latency   time.Duration
+	load      float64
+	loadAt    time.Time
+	failures  int
+	ejections int
+	ejected   time.Time
+}
+
+func newTarget(w *schema.Worker, self string) *Target {
+	addr, _ := netip.ParseAddrPort(w.GetPeerAddress())
+	t := &Target{
+		Node:    w.GetNode(),
+		Address: addr,
+		Domain:  w.GetFailureDomain(),
+		Region:  w.GetRegion(),
+		Local:   w.GetNode() == self,
+	}
+	t.update(w)
+	return t
+}
+
+func (t *Target) update(w *schema.Worker) {
+	t.slots.Store(w.GetSlots())
+	t.ready.Store(w.GetState() == schema.UpstreamState_UPSTREAM_STATE_READY)
+}
+
+// Start counts a call in progress.
+func (t *Target) Start() {
+	t.inflight.Add(1)
+}
+
+// Result is what a finished call tells of its worker.
+type Result struct {
+	Latency time.Duration
+	// Failed tells that the worker broke, as seen from here.
+	Failed bool
+	// Refused tells that the worker's gate did not run the call.
+	Refused bool
+	// Load is the gate's reported load; it is valid when HasLoad is set.
+	Load    float64
+	HasLoad bool
+}
+
+// Finish ends a call in progress.
+func (t *Target) Finish(r Result, now time.Time) {
+	t.inflight.Add(-1)
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if r.HasLoad {
+		t.load, t.loadAt = r.Load, now
+	}
+	switch {
+	case r.Failed:
+		t.fail(now)
+	case r.Refused:
+	default:
+		t.failures = 0
+		if now.After(t.ejected) {
+			t.ejections = 0
+		}
+		if t.latency == 0 {
+			t.latency = r.Latency
+		}
+		t.latency += time.Duration(float64(r.Latency-t.latency) * latencyWeight)
+	}
+}
+
+func (t *Target) fail(now time.Time) {
+	t.failures++
+	if t.failures < ejectAfter || now.Before(t.ejected) {
+		return
+	}
+	t.failures = 0
+	t.ejected = now.Add(min(lastEjection, firstEjection<<min(t.ejections, 10)))
+	t.ejections++
+}
+
+func (t *Target) isEjected(now time.Time) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return now.Before(t.ejected)
+}
+
+// busyness returns the requests at the worker over its slots. The gate's own report covers all nodes; without a
+// fresh one only the calls from here are known.
+func (t *Target) busyness(now time.Time) float64 {
+	own := float64(t.inflight.Load()) / float64(max(1, t.slots.Load()))
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if now.Sub(t.loadAt) < loadLifetime {
+		return max(own, t.load)
+	}
+	return own
+}
+
+// cost orders workers: the expected time for one more request.
+func (t *Target) cost(now time.Time) float64 {
+	busy := t.busyness(now)
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	latency := max(t.latency, startLatency)
+	return latency.Seconds() * (1 + busy) * math.Max(1, busy)
+}
--- /dev/null
+++ b/internal/runner/control.go
@@ -0,0 +1,94 @@
+package runner
+
+import (
+	"context"
+	"net/netip"
+	"time"
+
+	"github.com/pkg/errors"
+	"go.uber.org/zap"
+	"gopkg.in/tomb.v2"
+
+	"github.com/lavenderhub/lavenderhub/internal/controller"
+	"github.com/lavenderhub/lavenderhub/internal/dialer"
+	"github.com/lavenderhub/lavenderhub/schema"
+)
+
+// controlStopLimit bounds the wait for calls in progress when a control host stops.
+const controlStopLimit = 2 * time.Second
+
+// Control is a running control replica.
+type Control struct {
+	Base
+	cfg        *schema.ControlSettings
+	tomb       tomb.Tomb
+	pool       *dialer.Pool
+	server     *dialer.Server
+	controller *controller.Controller
+}
+
+// StartControl starts a control replica.
+func StartControl(b Base, cfg *schema.ControlSettings, operatorToken string) (*Control, error) {
+	addr, err := netip.ParseAddrPort(cfg.GetAddress())
+	if err != nil {
+		return nil, errors.Wrapf(err, "address %q", cfg.GetAddress())
+	}
+	c := &Control{Base: b, cfg: cfg, pool: dialer.NewPool(b.Security, b.Timer)}
+	c.controller, err = controller.New(controller.Parts{
+		Settings: cfg, Timer: b.Timer, Log: b.Log, Assert: b.Assert, Registry: b.Registry, Pool: c.pool,
+		OperatorToken: operatorToken, FleetToken: b.FleetToken,
+	})
+	if err != nil {
+		return nil, err
+	}
+	c.controller.Run()
+	if c.server, err = b.Security.Listen(&c.tomb, addr, dialer.Operators, c.controller.Handler()); err != nil {
+		_ = c.controller.Kill()
+		return nil, err
+	}
+	b.Log.Info("controlStarted", zap.String("control", cfg.GetName()), zap.Stringer("address", c.server.Addr()))
+	return c, nil
+}
+
+// Status describes the replica.
+func (c *Control) Status(ctx context.Context) (*schema.StatusReply, error) {
+	return c.controller.Status(ctx, &schema.StatusRequest{})
+}
+
+// Dead is closed when the replica ended by itself.
+func (c *Control) Dead() <-chan struct{} {
+	return c.controller.Dead()
+}
+
+// Err tells why the replica ended by itself.
+func (c *Control) Err() error {
+	return c.controller.Err()
+}
+
+// Stop hands leadership over and ends the replica after the calls in progress.
+func (c *Control) Stop() error {
+	ctx, cancel := context.WithTimeout(context.Background(), controlStopLimit)
+	defer cancel()
+	err := c.controller.Stop()
+	// Idle keep-alive connections of other processes would hold a graceful shutdown up; no call is in progress now.
+	if c.server.Shutdown(ctx) != nil {
+		_ = c.server.Close()
+	}
+	return c.end(err)
+}
+
+// Kill ends the replica at once, as a crash would.
+func (c *Control) Kill() error {
+	_ = c.server.Close()
+	return c.end(c.controller.Kill())
+}
+
+func (c *Control) end(err error) error {
+	c.tomb.Kill(nil)
+	if tombErr := c.tomb.Wait(); err == nil {
+		err = tombErr
+	}
+	c.pool.Close()
+	c.Log.Info("controlStopped", zap.String("control", c.cfg.GetName()))
+	return err
+}
--- /dev/null
+++ b/internal/runner/node.go
@@ -0,0 +1,232 @@
+// Package runner puts the parts of a process together from its settings, and starts and stops them in order.
+package runner
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"net/netip"
+	"time"
+
+	"github.com/pkg/errors"
+	"github.com/rcrowley/go-metrics"
+	"go.uber.org/zap"
+	"gopkg.in/tomb.v2"
+
+	"github.com/lavenderhub/lavenderhub/internal/admitter"
+	"github.com/lavenderhub/lavenderhub/internal/announcer"
+	"github.com/lavenderhub/lavenderhub/internal/asserter"
+	"github.com/lavenderhub/lavenderhub/internal/dialer"
+	"github.com/lavenderhub/lavenderhub/internal/forwarder"
+	"github.com/lavenderhub/lavenderhub/internal/reporter"
+	"github.com/lavenderhub/lavenderhub/internal/router"
+	"github.com/lavenderhub/lavenderhub/internal/syncer"
+	"github.com/lavenderhub/lavenderhub/internal/timer"
+	"github.com/lavenderhub/lavenderhub/schema"
+)
+
+const (
+	// defaultStopLimit bounds a planned stop unless settings say otherwise.
+	defaultStopLimit = 30 * time.Second
+	// spreadTime is how long other nodes may take to learn that this one is leaving.
+	spreadTime = 1500 * time.Millisecond
+	// idlePoll is how often a stop looks whether requests have ended.
+	idlePoll = 20 * time.Millisecond
+)
+
+// Base is what all roles of a process share.
+type Base struct {
+	Timer    *timer.Service
+	Log      *zap.Logger
+	Assert   *asserter.Asserter
+	Registry metrics.Registry
+	Security *dialer.Security
+	// FleetToken is shown to other processes of the fleet.
+	FleetToken string
+}
+
+// Baseline switches decisions off, for measurements.
+type Baseline struct {
+	Gate     []admitter.Option
+	Router   []router.Option
+	Controls forwarder.Controls
+}
+
+// Node is a running node.
+type Node struct {
+	Base
+	cfg       *schema.NodeSettings
+	tomb      tomb.Tomb
+	announcer *announcer.Announcer
+	router    *router.Router
+	syncer    *syncer.Syncer
+	forwarder *forwarder.Forwarder
+	recorder  *reporter.Recorder
+	peers     *dialer.Pool
+	control   *dialer.Pool
+	callers   *dialer.Server
+	hops      *dialer.Server
+}
+
+// StartNode starts a node. Admin is the address that it names for reports.
+func StartNode(b Base, cfg *schema.NodeSettings, admin netip.AddrPort, baseline Baseline) (*Node, error) {
+	n := &Node{Base: b, cfg: cfg}
+	n.peers = dialer.NewPool(b.Security, b.Timer)
+	n.control = dialer.NewPool(b.Security, b.Timer)
+	n.recorder = reporter.NewRecorder(b.Timer)
+	n.router = router.New(cfg.GetName(), cfg.GetFailureDomain(), cfg.GetRegion(), baseline.Router...)
+	n.announcer = announcer.New(b.Timer, b.Assert,
+		announcer.WithOnChange(func() { n.syncer.Kick() }), announcer.WithGateOptions(baseline.Gate...))
+	callers, err := open(cfg.GetCallerAddress())
+	if err != nil {
+		return nil, err
+	}
+	hops, err := open(cfg.GetPeerAddress())
+	if err != nil {
+		_ = callers.Close()
+		return nil, err
+	}
+	if err := n.newSyncer(hops.Addr(), admin); err != nil {
+		return nil, err
+	}
+	n.newForwarder(baseline.Controls)
+	n.syncer.Run()
+	n.callers = b.Security.Serve(&n.tomb, callers, dialer.Callers, http.HandlerFunc(n.serveCaller))
+	n.hops = b.Security.Serve(&n.tomb, hops, dialer.Peers, http.HandlerFunc(n.forwarder.ServePeer))
+	n.Log.Info("nodeStarted", zap.String("node", cfg.GetName()),
+		zap.Stringer("callers", n.callers.Addr()), zap.Stringer("peers", n.hops.Addr()))
+	return n, nil
+}
+
+// open listens on an address of the settings.
+func open(address string) (net.Listener, error) {
+	addr, err := netip.ParseAddrPort(address)
+	if err != nil {
+		return nil, errors.Wrapf(err, "address %q", address)
+	}
+	return dialer.Open(addr)
+}
+
+func (n *Node) serveCaller(w http.ResponseWriter, r *http.Request) {
+	if r.URL.Path == announcer.Path {
+		n.announcer.ServeHTTP(w, r)
+		return
+	}
+	n.forwarder.ServeCaller(w, r)
+}
+
+func (n *Node) newSyncer(own net.Addr, admin netip.AddrPort) error {
+	peerAddr, err := netip.ParseAddrPort(own.String())
+	if err != nil {
+		return errors.Wrap(err, "peer address")
+	}
+	var addresses []netip.AddrPort
+	for _, text := range n.cfg.GetControlAddresses() {
+		addr, err := netip.ParseAddrPort(text)
+		if err != nil {
+			return errors.Wrapf(err, "control address %q", text)
+		}
+		addresses = append(addresses, addr)
+	}
+	n.syncer = syncer.New(syncer.Parts{
+		Node: syncer.Node{
+			Name: n.cfg.GetName(), Domain: n.cfg.GetFailureDomain(), Region: n.cfg.GetRegion(),
+			PeerAddress: peerAddr, Admin: admin,
+		},
+		Control: addresses, Token: n.FleetToken, Timer: n.Timer, Log: n.Log, Assert: n.Assert, Registry: n.Registry,
+		Pool: n.control, Router: n.router, Announcer: n.announcer,
+	})
+	return nil
+}
+
+func (n *Node) newForwarder(controls forwarder.Controls) {
+	opts := []forwarder.Option{forwarder.WithControls(controls)}
+	if limit := n.cfg.GetBodyLimitBytes(); limit > 0 {
+		opts = append(opts, forwarder.WithBodyLimit(int64(limit)))
+	}
+	n.forwarder = forwarder.New(forwarder.Parts{
+		Timer: n.Timer, Log: n.Log, Assert: n.Assert, Registry: n.Registry, Router: n.router, Announcer: n.announcer,
+		Pool: n.peers, Recorder: n.recorder,
+		Control: forwarder.Control{
+			View: n.syncer.View, IsFresh: n.syncer.IsFresh, Staleness: n.syncer.Staleness, Bucket: n.syncer.Bucket,
+			Locate: n.syncer.Locate, Claim: n.syncer.Claim, Settle: n.syncer.Settle,
+		},
+	}, opts...)
+}
+
+// CallerAddr returns the address for callers and the node's own upstream.
+func (n *Node) CallerAddr() netip.AddrPort {
+	return n.callers.Addr()
+}
+
+// IsReady reports whether the node holds a fresh certificate.
+func (n *Node) IsReady() bool {
+	return n.syncer.IsFresh()
+}
+
+// Revision returns the version of the settings tree that is in force at the node.
+func (n *Node) Revision() uint64 {
+	if v := n.syncer.View(); v != nil {
+		return v.Revision
+	}
+	return 0
+}
+
+// Report returns the node's burn counts.
+func (n *Node) Report() *schema.BurnReport {
+	return n.recorder.Report()
+}
+
+// Stop ends the node without cutting off a request: no new work for the upstream first, then no new callers, then no
+// connections, and the tokens go back. Only requests beyond the stop limit are cut.
+func (n *Node) Stop() error {
+	limit := defaultStopLimit
+	if d := n.cfg.GetStopLimit(); d != nil {
+		limit = d.AsDuration()
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), limit)
+	defer cancel()
+	n.Log.Info("nodeStopping", zap.String("node", n.cfg.GetName()))
+	n.announcer.Stop()
+	n.forwarder.Stop()
+	_ = n.Timer.Sleep(ctx, spreadTime)
+	n.awaitIdle(ctx)
+	err := n.callers.Shutdown(ctx)
+	if hopErr := n.hops.Shutdown(ctx); err == nil {
+		err = hopErr
+	}
+	n.Assert.Check(asserter.StopCutsNothing, err != nil || n.forwarder.Active() == 0, "")
+	_ = n.syncer.Kill()
+	n.syncer.Leave(ctx)
+	return n.end(err)
+}
+
+// awaitIdle waits until the upstream has no request in progress: until then it may make nested calls.
+func (n *Node) awaitIdle(ctx context.Context) {
+	for ctx.Err() == nil {
+		if n.announcer.Inflight() == 0 {
+			return
+		}
+		_ = n.Timer.Sleep(ctx, idlePoll)
+	}
+}
+
+// Kill ends the node at once, as a crash would.
+func (n *Node) Kill() error {
+	n.tomb.Kill(nil)
+	_ = n.callers.Close()
+	_ = n.hops.Close()
+	_ = n.syncer.Kill()
+	return n.end(nil)
+}
+
+func (n *Node) end(err error) error {
+	n.tomb.Kill(nil)
+	if tombErr := n.tomb.Wait(); err == nil {
+		err = tombErr
+	}
+	n.peers.Close()
+	n.control.Close()
+	n.Log.Info("nodeStopped", zap.String("node", n.cfg.GetName()))
+	return err
+}
--- /dev/null
+++ b/internal/runner/process.go
@@ -0,0 +1,167 @@
+package runner
+
+import (
+	"net/http"
+	"net/netip"
+	"os"
+	"strings"
+
+	"github.com/pkg/errors"
+	"github.com/rcrowley/go-metrics"
+	"github.com/uptrace/bunrouter"
+	"go.uber.org/zap"
+	"google.golang.org/protobuf/encoding/protojson"
+	"gopkg.in/tomb.v2"
+
+	"github.com/lavenderhub/lavenderhub/internal/asserter"
+	"github.com/lavenderhub/lavenderhub/internal/dialer"
+	"github.com/lavenderhub/lavenderhub/internal/exporter"
+	"github.com/lavenderhub/lavenderhub/internal/timer"
+	"github.com/lavenderhub/lavenderhub/schema"
+)
+
+// BurnPath serves a node's burn counts on the admin address.
+const BurnPath = "/lavenderhub/v1/burn"
+
+// Process is a running process with the roles of its settings.
+type Process struct {
+	Base
+	tomb    tomb.Tomb
+	admin   *dialer.Server
+	node    *Node
+	control *Control
+}
+
+// Start starts the roles that the settings name.
+func Start(cfg *schema.Settings, log *zap.Logger) (*Process, error) {
+	t := timer.New()
+	security, err := dialer.NewSecurity(cfg.GetTls(), t)
+	if err != nil {
+		return nil, err
+	}
+	token, err := readToken(cfg.GetFleetTokenFile())
+	if err != nil {
+		return nil, err
+	}
+	p := &Process{Base: Base{
+		Timer: t, Log: log, Assert: asserter.New(log), Registry: metrics.NewRegistry(), Security: security, FleetToken: token,
+	}}
+	if err := p.start(cfg); err != nil {
+		_ = p.Stop()
+		return nil, err
+	}
+	return p, nil
+}
+
+func (p *Process) start(cfg *schema.Settings) error {
+	if cfg.GetControl() != nil {
+		token, err := readToken(cfg.GetControl().GetOperatorTokenFile())
+		if err != nil {
+			return err
+		}
+		if p.control, err = StartControl(p.Base, cfg.GetControl(), token); err != nil {
+			return err
+		}
+	}
+	var admin netip.AddrPort
+	if cfg.GetAdminAddress() != "" {
+		addr, err := netip.ParseAddrPort(cfg.GetAdminAddress())
+		if err != nil {
+			return errors.Wrap(err, "admin address")
+		}
+		if p.admin, err = p.Security.Listen(&p.tomb, addr, dialer.Operators, p.handler()); err != nil {
+			return err
+		}
+		admin = p.admin.Addr()
+	}
+	if cfg.GetNode() == nil {
+		return nil
+	}
+	var err error
+	p.node, err = StartNode(p.Base, cfg.GetNode(), admin, Baseline{})
+	return err
+}
+
+// readToken reads a token from a file. No file means no token.
+func readToken(file string) (string, error) {
+	if file == "" {
+		return "", nil
+	}
+	data, err := os.ReadFile(file)
+	if err != nil {
+		return "", errors.Wrap(err, "read token")
+	}
+	token := strings.TrimSpace(string(data))
+	if token == "" {
+		return "", errors.Errorf("token file %s is empty", file)
+	}
+	return token, nil
+}
+
+// handler serves the admin address.
+func (p *Process) handler() http.Handler {
+	r := bunrouter.New()
+	r.GET("/lavenderhub/v1/healthz", func(w http.ResponseWriter, _ bunrouter.Request) error {
+		_, err := w.Write([]byte("ok\n"))
+		return err
+	})
+	r.GET("/lavenderhub/v1/readyz", func(w http.ResponseWriter, _ bunrouter.Request) error {
+		if p.node != nil && !p.node.IsReady() {
+			w.WriteHeader(http.StatusServiceUnavailable)
+			_, err := w.Write([]byte("no fresh certificate from a control host\n"))
+			return err
+		}
+		_, err := w.Write([]byte("ok\n"))
+		return err
+	})
+	r.GET("/lavenderhub/v1/metrics", func(w http.ResponseWriter, _ bunrouter.Request) error {
+		w.Header().Set("Content-Type", "text/plain; version=0.0.4")
+		return exporter.Write(w, p.Registry, p.Assert)
+	})
+	r.GET(BurnPath, func(w http.ResponseWriter, _ bunrouter.Request) error {
+		report := &schema.BurnReport{}
+		if p.node != nil {
+			report = p.node.Report()
+		}
+		data, err := protojson.Marshal(report)
+		if err != nil {
+			return err
+		}
+		w.Header().Set("Content-Type", "application/json")
+		_, err = w.Write(data)
+		return err
+	})
+	return r
+}
+
+// Failed is closed when a role ended by itself.
+func (p *Process) Failed() <-chan struct{} {
+	if p.control == nil {
+		return nil
+	}
+	return p.control.Dead()
+}
+
+// Stop ends the roles in order: the node first, since it needs a control host to give its tokens back.
+func (p *Process) Stop() error {
+	var first error
+	note := func(err error) {
+		if first == nil {
+			first = err
+		}
+	}
+	if p.node != nil {
+		note(p.node.Stop())
+	}
+	if p.control != nil {
+		note(p.control.Stop())
+	}
+	if p.admin != nil {
+		note(p.admin.Close())
+	}
+	p.tomb.Kill(nil)
+	if p.admin != nil {
+		note(p.tomb.Wait())
+	}
+	return first
+}
