--- a/internal/admitter/gate.go
+++ b/internal/admitter/gate.go
@@ -21,6 +21,8 @@
 	queueFactor = 2
 	// latencyWeight is the weight of a new sample in the mean time of a request.
 	latencyWeight = 0.05
+	// maxMissed is the number of windows without a request that a level is lowered for at once.
+	maxMissed = 32
 	// maxQueued bounds the queue's memory, in requests for each slot.
 	maxQueued = 64
 )
@@ -230,6 +232,11 @@
 			w.ready <- Late
 			continue
 		}
+		if !g.fifo && w.ask.Rank < g.level.fence(now) {
+			g.level.shed(w.ask.Rank, now)
+			w.ready <- Shed
+			continue
+		}
 		g.checkOrder(w)
 		g.enter()
 		w.ready <- Admitted
@@ -259,7 +266,11 @@
 	if now.Before(g.windowEnd) {
 		return
 	}
+	missed := int(now.Sub(g.windowEnd) / levelWindow)
 	g.level.decide(g.served, g.pressed || g.standing, now)
+	for range min(missed, maxMissed) {
+		g.level.decide(0, false, now)
+	}
 	g.limit.decide(now)
 	g.windowEnd = now.Add(levelWindow)
 	g.served, g.pressed = 0, false
--- a/internal/admitter/level.go
+++ b/internal/admitter/level.go
@@ -32,25 +32,33 @@
 	sample   [sampleSize]Rank
 	lastSeen [classCount]time.Time
 
-	fence      Rank
-	fenceUntil time.Time
+	shedAt   [classCount]time.Time
+	lastShed time.Time
 }
 
 // current returns the rank below which requests are shed now.
 func (l *level) current(now time.Time) Rank {
-	if now.Before(l.fenceUntil) {
-		return max(l.value, l.fence)
-	}
-	return l.value
+	return max(l.value, l.fence(now))
 }
 
-// shed notes that a request was shed. Lower classes stay out for a while, so that a more important request is not
-// shed shortly before or after a less important one is admitted.
+// shed notes that a request was shed.
 func (l *level) shed(r Rank, now time.Time) {
-	fence := floor(r.class())
-	if fence >= l.fence || !now.Before(l.fenceUntil) {
-		l.fence, l.fenceUntil = fence, now.Add(fenceTime)
+	l.shedAt[r.class()%classCount] = now
+	l.lastShed = now
+}
+
+// fence returns the lowest rank of the highest class of which a request was shed lately. Lower classes stay out for a
+// while, so that a more important request is not shed shortly before a less important one is admitted.
+func (l *level) fence(now time.Time) Rank {
+	if l.lastShed.IsZero() || now.Sub(l.lastShed) >= fenceTime {
+		return 0
+	}
+	for class := classCount - 1; class > 0; class-- {
+		if at := l.shedAt[class]; !at.IsZero() && now.Sub(at) < fenceTime {
+			return floor(class)
+		}
 	}
+	return 0
 }
 
 // arrive counts an arrival of the current window.
--- a/internal/controller/sync.go
+++ b/internal/controller/sync.go
@@ -74,9 +74,7 @@
 	}
 	h := limiter.Holder{Node: req.GetNode(), Incarnation: req.GetIncarnation()}
 	for _, d := range req.GetDemands() {
-		g, ok := l.owner.Draw(h, limiter.Ask{
-			Account: d.GetAccount(), Rate: d.GetRate(), Want: d.GetWant(), Settled: d.GetSettled(), Unspent: d.GetUnspent(),
-		}, now)
+		g, ok := l.owner.Draw(h, askOf(d), now)
 		if !ok {
 			continue
 		}
@@ -86,6 +84,18 @@
 	}
 }
 
+func askOf(d *schema.Demand) limiter.Ask {
+	ask := limiter.Ask{
+		Account: d.GetAccount(), Rate: d.GetRate(), Want: d.GetWant(), Settled: d.GetSettled(), Unspent: d.GetUnspent(),
+	}
+	for _, m := range d.GetMarks() {
+		ask.Marks = append(ask.Marks, limiter.Mark{
+			Age: time.Duration(m.GetAgeMicros()) * time.Microsecond, Settled: m.GetSettled(),
+		})
+	}
+	return ask
+}
+
 func (c *Controller) controlAddresses() []string {
 	var out []string
 	for _, r := range c.core.Status().Replicas {
--- a/internal/limiter/bucket.go
+++ b/internal/limiter/bucket.go
@@ -19,6 +19,9 @@
 	idleLifetime = 20 * time.Second
 	// demandWindow is the time constant of the demand's moving average.
 	demandWindow = time.Second
+	// maxMarks bounds the marks of one exchange, and markSpacing is the shortest time between two.
+	maxMarks    = 16
+	markSpacing = 5 * time.Millisecond
 	// MaxWait is the longest time that a request waits for a token.
 	MaxWait = 150 * time.Millisecond
 )
@@ -53,6 +56,14 @@
 	counted     time.Time
 	fleetDemand float64
 	asked       time.Time
+	marks       []nodeMark
+	marksSent   int
+}
+
+// nodeMark tells what had been settled at a moment.
+type nodeMark struct {
+	at      time.Time
+	settled float64
 }
 
 // nodeBatch is a grant as the node holds it.
@@ -134,7 +145,7 @@
 		part := min(need, first.tokens)
 		first.tokens -= part
 		need -= part
-		b.settle(*first)
+		b.settle(*first, now)
 		if first.tokens <= tolerance {
 			b.batches = b.batches[1:]
 		}
@@ -144,10 +155,34 @@
 }
 
 // settle reports everything before what is left of a batch as settled.
-func (b *Bucket) settle(first nodeBatch) {
-	if first.epoch == b.epoch {
-		b.settled = max(b.settled, first.end-first.tokens)
+func (b *Bucket) settle(first nodeBatch, now time.Time) {
+	position := first.end - first.tokens
+	if first.epoch != b.epoch || position <= b.settled {
+		return
+	}
+	b.settled = position
+	n := len(b.marks)
+	if n > b.marksSent && now.Sub(b.marks[n-1].at) < markSpacing {
+		// A later time for the same tokens is on the safe side.
+		b.marks[n-1] = nodeMark{at: now, settled: position}
+		return
+	}
+	if n >= maxMarks {
+		b.thinMarks()
+	}
+	b.marks = append(b.marks, nodeMark{at: now, settled: position})
+}
+
+// thinMarks drops every other mark; the later of two covers the tokens of both.
+func (b *Bucket) thinMarks() {
+	kept := b.marks[:0]
+	for i, m := range b.marks {
+		if i%2 == 1 {
+			kept = append(kept, m)
+		}
 	}
+	b.marks = kept
+	b.marksSent = 0
 }
 
 // drop gives up the batches that expired.
@@ -159,7 +194,7 @@
 			b.unspent += first.tokens
 		}
 		first.tokens = 0
-		b.settle(first)
+		b.settle(first, now)
 	}
 }
 
@@ -181,6 +216,7 @@
 	if epoch != b.epoch {
 		// The new owner counts what is held from the old epoch as carried.
 		b.epoch, b.end, b.settled, b.unspent = epoch, 0, 0, 0
+		b.marks = nil
 	}
 	b.drop(now)
 	b.decay(now)
@@ -193,7 +229,12 @@
 		target := 1 + math.Ceil(b.demand*horizon.Seconds()) + float64(len(b.waiters))
 		want = max(0, target-b.held(now.Add(renewAhead)))
 	}
-	return Ask{Account: account, Rate: b.demand, Want: want, Settled: b.settled, Unspent: b.unspent}, true
+	ask := Ask{Account: account, Rate: b.demand, Want: want, Settled: b.settled, Unspent: b.unspent}
+	for _, m := range b.marks {
+		ask.Marks = append(ask.Marks, Mark{Age: now.Sub(m.at), Settled: m.settled})
+	}
+	b.marksSent = len(b.marks)
+	return ask, true
 }
 
 // IsIdle reports whether the bucket may be forgotten.
@@ -208,7 +249,12 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.fleetDemand = g.FleetDemand
-	if epoch != b.epoch || g.End <= b.end {
+	if epoch != b.epoch {
+		return
+	}
+	b.marks = b.marks[min(b.marksSent, len(b.marks)):]
+	b.marksSent = 0
+	if g.End <= b.end {
 		return
 	}
 	b.end = g.End
--- a/internal/limiter/owner.go
+++ b/internal/limiter/owner.go
@@ -2,11 +2,11 @@
 // of each account's token bucket and leases tokens to nodes; a Bucket spends them at one node.
 //
 // For any window of length T the fleet admits at most burst + rate·T: the tokens that nodes hold and the owner's
-// level together never exceed the burst, and the owner refills at the rate.
+// level together never exceed the burst, and the owner refills at the rate. What does not fit is clipped. Nodes tell
+// when they spent their tokens; what was clipped after that is given back, so that late news costs no rate.
 package limiter
 
 import (
-	"fmt"
 	"time"
 
 	"github.com/lavenderhub/lavenderhub/internal/asserter"
@@ -47,6 +47,14 @@
 	Settled float64
 	// Unspent is the part of Settled that was given up.
 	Unspent float64
+	// Marks tell how Settled grew, oldest first.
+	Marks []Mark
+}
+
+// Mark tells that a total had been settled some time before the message was sent.
+type Mark struct {
+	Age     time.Duration
+	Settled float64
 }
 
 // Grant is a batch of tokens.
@@ -126,159 +134,3 @@
 	g.Account = ask.Account
 	return g, true
 }
-
-// pool is the token bucket of one account.
-type pool struct {
-	rate         float64
-	burst        float64
-	level        float64
-	filled       time.Time
-	outstanding  float64
-	carry        Carry
-	carriedUntil time.Time
-	holdings     map[Holder]*holding
-	assert       *asserter.Asserter
-}
-
-// holding is what one holder was granted. Positions count tokens from the start of the epoch.
-type holding struct {
-	granted float64
-	settled float64
-	unspent float64
-	batches []batch
-	demand  float64
-	seen    time.Time
-}
-
-// batch is a grant that ends at a position and expires.
-type batch struct {
-	end     float64
-	expires time.Time
-}
-
-// limit returns how many tokens level and outstanding may make up together.
-func (p *pool) limit(now time.Time) float64 {
-	reserve := 0.0
-	if p.burst >= minReservedBurst {
-		reserve = p.burst * reserveShare
-	}
-	switch {
-	case !now.Before(p.carriedUntil):
-		return p.burst - reserve
-	case p.carry == CarryOne:
-		return reserve
-	default:
-		return 0
-	}
-}
-
-func (p *pool) refill(now time.Time) {
-	if now.After(p.filled) {
-		p.level += p.rate * now.Sub(p.filled).Seconds()
-		p.filled = now
-	}
-	p.expire(now)
-	p.clamp(now)
-}
-
-// clamp bounds the level so that level and outstanding tokens stay within the limit.
-func (p *pool) clamp(now time.Time) {
-	p.level = max(0, min(p.level, p.limit(now)-p.outstanding))
-}
-
-func (p *pool) expire(now time.Time) {
-	for h, hold := range p.holdings {
-		for len(hold.batches) > 0 && !now.Before(hold.batches[0].expires) {
-			p.settle(hold, hold.batches[0].end)
-			hold.batches = hold.batches[1:]
-		}
-		if now.Sub(hold.seen) > holderLifetime && len(hold.batches) == 0 {
-			delete(p.holdings, h)
-		}
-	}
-}
-
-// settle moves a holding's settled position forward. Positions that were settled before change nothing.
-func (p *pool) settle(hold *holding, position float64) {
-	position = min(position, hold.granted)
-	if position <= hold.settled {
-		return
-	}
-	p.outstanding = max(0, p.outstanding-(position-hold.settled))
-	hold.settled = position
-}
-
-func (p *pool) draw(h Holder, ask Ask, now time.Time) Grant {
-	hold := p.holdings[h]
-	if hold == nil {
-		hold = &holding{}
-		p.holdings[h] = hold
-	}
-	hold.seen, hold.demand = now, ask.Rate
-	p.credit(hold, ask)
-	p.refill(now)
-	demand := p.demand(now)
-	tokens := p.share(ask, demand)
-	if tokens > 0 {
-		p.level -= tokens
-		p.outstanding += tokens
-		hold.granted += tokens
-		hold.batches = append(hold.batches, batch{end: hold.granted, expires: now.Add(ownerLifetime)})
-		p.check(now)
-	}
-	return Grant{Tokens: tokens, End: hold.granted, FleetDemand: demand}
-}
-
-// credit settles what the node reports. Tokens given up return to the level, unless they expired here before.
-func (p *pool) credit(hold *holding, ask Ask) {
-	before := p.outstanding
-	p.settle(hold, ask.Settled)
-	freed := before - p.outstanding
-	returned := min(ask.Unspent-hold.unspent, freed)
-	hold.unspent = max(hold.unspent, ask.Unspent)
-	if returned > 0 {
-		p.level += returned
-	}
-	for len(hold.batches) > 0 && hold.batches[0].end <= hold.settled {
-		hold.batches = hold.batches[1:]
-	}
-}
-
-func (p *pool) demand(now time.Time) float64 {
-	total := 0.0
-	for _, hold := range p.holdings {
-		if now.Sub(hold.seen) < demandLifetime {
-			total += hold.demand
-		}
-	}
-	return total
-}
-
-// share returns how much of the level one node gets: all it wants when there is plenty, its share of the demand,
-// and at least one token, when there is not.
-func (p *pool) share(ask Ask, demand float64) float64 {
-	want := max(0, ask.Want)
-	if want == 0 || p.level < 1 {
-		return 0
-	}
-	part := 1.0
-	if demand > ask.Rate {
-		part = ask.Rate / demand
-	}
-	fair := max(1, p.level*part)
-	plenty := p.level > p.burst/2 && p.level >= 2*want
-	if plenty {
-		fair = want
-	}
-	return min(want, fair, p.level)
-}
-
-func (p *pool) check(now time.Time) {
-	sum := p.level + p.outstanding
-	ok := sum <= max(p.limit(now), p.outstanding)+tolerance
-	detail := ""
-	if !ok {
-		detail = fmt.Sprintf("level %v outstanding %v burst %v", p.level, p.outstanding, p.burst)
-	}
-	p.assert.Check(asserter.TokensWithinBurst, ok, detail)
-}
--- /dev/null
+++ b/internal/limiter/pool.go
@@ -0,0 +1,196 @@
+package limiter
+
+import (
+	"fmt"
+	"time"
+
+	"github.com/lavenderhub/lavenderhub/internal/asserter"
+)
+
+// pool is the token bucket of one account.
+type pool struct {
+	rate         float64
+	burst        float64
+	level        float64
+	filled       time.Time
+	outstanding  float64
+	clips        clips
+	carry        Carry
+	carriedUntil time.Time
+	holdings     map[Holder]*holding
+	assert       *asserter.Asserter
+}
+
+// holding is what one holder was granted. Positions count tokens from the start of the epoch.
+type holding struct {
+	granted float64
+	settled float64
+	unspent float64
+	batches []batch
+	demand  float64
+	seen    time.Time
+}
+
+// batch is a grant that ends at a position and expires.
+type batch struct {
+	end     float64
+	expires time.Time
+}
+
+// limit returns how many tokens level and outstanding may make up together.
+func (p *pool) limit(now time.Time) float64 {
+	reserve := 0.0
+	if p.burst >= minReservedBurst {
+		reserve = p.burst * reserveShare
+	}
+	switch {
+	case !now.Before(p.carriedUntil):
+		return p.burst - reserve
+	case p.carry == CarryOne:
+		return reserve
+	default:
+		return 0
+	}
+}
+
+// refill brings the level up to a moment. The limit changes when the carried grants end.
+func (p *pool) refill(now time.Time) {
+	if p.filled.Before(p.carriedUntil) && now.After(p.carriedUntil) {
+		p.fill(p.carriedUntil, p.limit(p.filled))
+	}
+	p.fill(now, p.limit(now))
+	p.expire(now)
+}
+
+// fill adds what the rate gives until a moment, and notes what did not fit.
+func (p *pool) fill(until time.Time, limit float64) {
+	if !until.After(p.filled) {
+		return
+	}
+	gain := p.rate * until.Sub(p.filled).Seconds()
+	room := max(0, limit-p.outstanding-p.level)
+	if gain > room {
+		full := p.filled.Add(time.Duration(room / p.rate * float64(time.Second)))
+		p.clips.add(clip{from: full, to: until, rate: p.rate}, until)
+		gain = room
+	}
+	p.level += gain
+	p.filled = until
+}
+
+// clamp bounds the level after the limit fell.
+func (p *pool) clamp(now time.Time) {
+	p.level = max(0, min(p.level, p.limit(now)-p.outstanding))
+}
+
+func (p *pool) expire(now time.Time) {
+	for h, hold := range p.holdings {
+		for len(hold.batches) > 0 && !now.Before(hold.batches[0].expires) {
+			p.settleSpent(hold, hold.batches[0].end, hold.batches[0].expires)
+			hold.batches = hold.batches[1:]
+		}
+		if now.Sub(hold.seen) > holderLifetime && len(hold.batches) == 0 {
+			delete(p.holdings, h)
+		}
+	}
+}
+
+// settle moves a holding's settled position forward and returns by how much. Positions that were settled before
+// change nothing.
+func (p *pool) settle(hold *holding, position float64) float64 {
+	position = min(position, hold.granted)
+	if position <= hold.settled {
+		return 0
+	}
+	freed := min(p.outstanding, position-hold.settled)
+	p.outstanding -= freed
+	hold.settled = position
+	return freed
+}
+
+// settleSpent settles tokens that were spent by a moment, and gives back what was clipped after it because they
+// seemed to be held.
+func (p *pool) settleSpent(hold *holding, position float64, at time.Time) {
+	freed := p.settle(hold, position)
+	if freed > 0 {
+		p.level += p.clips.take(freed, at)
+	}
+}
+
+func (p *pool) draw(h Holder, ask Ask, now time.Time) Grant {
+	hold := p.holdings[h]
+	if hold == nil {
+		hold = &holding{}
+		p.holdings[h] = hold
+	}
+	hold.seen, hold.demand = now, ask.Rate
+	p.refill(now)
+	p.credit(hold, ask, now)
+	demand := p.demand(now)
+	tokens := p.share(ask, demand)
+	if tokens > 0 {
+		p.level -= tokens
+		p.outstanding += tokens
+		hold.granted += tokens
+		hold.batches = append(hold.batches, batch{end: hold.granted, expires: now.Add(ownerLifetime)})
+		p.check(now)
+	}
+	return Grant{Tokens: tokens, End: hold.granted, FleetDemand: demand}
+}
+
+// credit settles what the node reports. Tokens given up return to the level, unless they expired here before.
+func (p *pool) credit(hold *holding, ask Ask, now time.Time) {
+	returned := max(0, min(ask.Unspent-hold.unspent, ask.Settled-hold.settled, hold.granted-hold.settled))
+	hold.unspent = max(hold.unspent, ask.Unspent)
+	// Which of the positions were given up is not known: the last ones are taken to be.
+	for _, m := range ask.Marks {
+		// The margin covers a node's clock that runs fast.
+		at := now.Add(-m.Age + m.Age/10)
+		p.settleSpent(hold, min(m.Settled, ask.Settled-returned), at)
+	}
+	p.settleSpent(hold, ask.Settled-returned, now)
+	p.level += p.settle(hold, ask.Settled)
+	for len(hold.batches) > 0 && hold.batches[0].end <= hold.settled {
+		hold.batches = hold.batches[1:]
+	}
+	p.clamp(now)
+}
+
+func (p *pool) demand(now time.Time) float64 {
+	total := 0.0
+	for _, hold := range p.holdings {
+		if now.Sub(hold.seen) < demandLifetime {
+			total += hold.demand
+		}
+	}
+	return total
+}
+
+// share returns how much of the level one node gets: all it wants when there is plenty, its share of the demand,
+// and at least one token, when there is not.
+func (p *pool) share(ask Ask, demand float64) float64 {
+	want := max(0, ask.Want)
+	if want == 0 || p.level < 1 {
+		return 0
+	}
+	part := 1.0
+	if demand > ask.Rate {
+		part = ask.Rate / demand
+	}
+	fair := max(1, p.level*part)
+	plenty := p.level > p.burst/2 && p.level >= 2*want
+	if plenty {
+		fair = want
+	}
+	return min(want, fair, p.level)
+}
+
+func (p *pool) check(now time.Time) {
+	sum := p.level + p.outstanding
+	ok := sum <= max(p.limit(now), p.outstanding)+tolerance
+	detail := ""
+	if !ok {
+		detail = fmt.Sprintf("level %v outstanding %v burst %v", p.level, p.outstanding, p.burst)
+	}
+	p.assert.Check(asserter.TokensWithinBurst, ok, detail)
+}
--- /dev/null
+++ b/internal/limiter/random_test.go
@@ -0,0 +1,232 @@
+package limiter
+
+import (
+	"context"
+	"math/rand/v2"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"github.com/lavenderhub/lavenderhub/internal/asserter"
+	"github.com/lavenderhub/lavenderhub/internal/timer"
+)
+
+// fleet is an owner and nodes whose exchanges are lost, delayed and repeated, with clocks of different pace. Time is the
+// bubble's; a node's clock runs faster or slower.
+type fleet struct {
+	t       *rapid.T
+	random  *rand.Rand
+	owner   *Owner
+	epoch   uint64
+	began   time.Time
+	nodes   []*limiterNode
+	rate    float64
+	burst   float64
+	admits  []time.Time
+	changed time.Time
+	assert  *asserter.Asserter
+}
+
+type limiterNode struct {
+	holder Holder
+	bucket *Bucket
+	epoch  uint64
+	drift  float64
+	base   time.Time
+	demand float64
+}
+
+func (f *fleet) addNode(i int) *limiterNode {
+	n := &limiterNode{
+		holder: Holder{Node: string(rune('a' + i)), Incarnation: f.random.Uint64()},
+		drift:  1 + 0.04*(2*f.random.Float64()-1), base: time.Now(), demand: f.random.Float64() * f.rate,
+	}
+	clock := timer.New(timer.WithNow(func() time.Time {
+		return n.base.Add(time.Duration(float64(time.Since(n.base)) * n.drift))
+	}))
+	n.bucket = NewBucket(clock, f.assert, func() {})
+	return n
+}
+
+// exchange is one Sync of a node. Either direction may be lost, and the request may arrive twice.
+func (f *fleet) exchange(n *limiterNode) {
+	ask, ok := n.bucket.Ask("x", n.epoch)
+	if !ok {
+		return
+	}
+	sent := n.bucket.timer.Now()
+	epoch := n.epoch
+	if f.random.IntN(10) == 0 {
+		return
+	}
+	time.Sleep(time.Duration(f.random.Int64N(int64(20 * time.Millisecond))))
+	if f.owner == nil {
+		return
+	}
+	n.epoch = f.epoch
+	if epoch != f.epoch {
+		return
+	}
+	if f.random.IntN(10) == 0 {
+		f.owner.Draw(n.holder, ask, time.Now())
+	}
+	g, ok := f.owner.Draw(n.holder, ask, time.Now())
+	if !ok || f.random.IntN(10) == 0 {
+		return
+	}
+	time.Sleep(time.Duration(f.random.Int64N(int64(20 * time.Millisecond))))
+	n.bucket.Add(g, epoch, sent)
+}
+
+// spend takes tokens as callers would, without waiting.
+func (f *fleet) spend(n *limiterNode, span time.Duration) {
+	for k := f.random.IntN(2 + int(3*n.demand*span.Seconds())); k > 0; k-- {
+		ctx, cancel := context.WithCancel(context.Background())
+		cancel()
+		n.bucket.mu.Lock()
+		waiting := len(n.bucket.waiters)
+		n.bucket.mu.Unlock()
+		if waiting == 0 && n.bucket.Take(ctx, 0) == Admitted {
+			f.admits = append(f.admits, time.Now())
+		}
+	}
+}
+
+// takeOver begins a new epoch, after a pause in which nobody grants.
+func (f *fleet) takeOver() {
+	f.owner = nil
+	time.Sleep(time.Duration(f.random.Int64N(int64(3 * time.Second))))
+	carry := CarryOf(f.began, time.Now())
+	f.epoch++
+	f.began = time.Now()
+	f.owner = NewOwner(time.Now(), carry, f.assert)
+	f.owner.SetTerms("x", f.rate, f.burst, time.Now())
+}
+
+func (f *fleet) setTerms(rate, burst float64) {
+	f.checkWindows()
+	f.admits = nil
+	f.rate, f.burst = rate, burst
+	if f.owner != nil {
+		f.owner.SetTerms("x", rate, burst, time.Now())
+	}
+	f.changed = time.Now()
+}
+
+// checkWindows asserts that no window since the last change of terms admitted more than burst + rate·T. Grants under
+// larger terms may be spent for their lifetime after the change; admissions in that time are left out.
+func (f *fleet) checkWindows() {
+	from := f.changed.Add(ownerLifetime)
+	var times []time.Time
+	for _, at := range f.admits {
+		if at.After(from) {
+			times = append(times, at)
+		}
+	}
+	// The largest excess over rate·T of any window that begins with one admission and ends with another.
+	lowest := 0.0
+	for i, at := range times {
+		since := f.rate * at.Sub(times[0]).Seconds()
+		lowest = min(lowest, float64(i)-since)
+		if excess := float64(i+1) - since - lowest; excess > f.burst+tolerance*float64(len(times)+1) {
+			f.t.Fatalf("a window admitted %v over rate·T with a burst of %v, rate %v", excess, f.burst, f.rate)
+		}
+	}
+}
+
+func TestRandomFleet(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		seed := rapid.Uint64().Draw(rt, "seed")
+		synctest.Test(t, func(*testing.T) {
+			f := &fleet{t: rt, random: rand.New(rand.NewPCG(seed, 2)), began: time.Now(), epoch: 1}
+			f.assert = asserter.New(nil, asserter.WithOnBreak(func(i asserter.Invariant, s string) { rt.Fatalf("%s %s", i, s) }))
+			f.rate, f.burst = 1+f.random.Float64()*50, 1+float64(f.random.IntN(100))
+			f.owner = NewOwner(time.Now(), CarryNothing, f.assert)
+			f.owner.SetTerms("x", f.rate, f.burst, time.Now())
+			f.changed = time.Now().Add(-ownerLifetime)
+			for i := range 4 {
+				f.nodes = append(f.nodes, f.addNode(i))
+			}
+			for range 400 {
+				span := time.Duration(f.random.Int64N(int64(400 * time.Millisecond)))
+				time.Sleep(span)
+				i := f.random.IntN(len(f.nodes))
+				f.spend(f.nodes[i], span)
+				f.exchange(f.nodes[i])
+				f.spend(f.nodes[i], span)
+				switch f.random.IntN(80) {
+				case 0:
+					f.takeOver()
+				case 1:
+					f.nodes[i] = f.addNode(i)
+				case 2:
+					f.setTerms(1+f.random.Float64()*50, 1+float64(f.random.IntN(100)))
+				}
+			}
+			f.checkWindows()
+		})
+	})
+}
+
+// TestRateIsReached keeps four nodes busy beyond an account's rate and expects that the rate is used up, with a burst
+// that lasts for a fraction of a second only.
+func TestRateIsReached(t *testing.T) {
+	tests := []struct {
+		name  string
+		rate  float64
+		burst float64
+	}{
+		{name: "burst of a second", rate: 100, burst: 100},
+		{name: "burst of a fifth of a second", rate: 100, burst: 20},
+		{name: "slow", rate: 5, burst: 5},
+	}
+	const seconds = 60
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				f := &fleet{random: rand.New(rand.NewPCG(1, 2)), epoch: 1, rate: tt.rate, burst: tt.burst}
+				f.owner = NewOwner(time.Now(), CarryNothing, nil)
+				f.owner.SetTerms("x", tt.rate, tt.burst, time.Now())
+				var admitted atomic.Int64
+				var mu sync.Mutex
+				var group sync.WaitGroup
+				for i := range 4 {
+					n := f.addNode(i)
+					n.epoch = 1
+					group.Go(func() {
+						for range int(seconds * tt.rate / 4 * 1.5) {
+							time.Sleep(time.Duration(float64(time.Second) / (tt.rate / 4 * 1.5)))
+							group.Go(func() {
+								if n.bucket.Take(t.Context(), MaxWait) == Admitted {
+									admitted.Add(1)
+								}
+							})
+						}
+					})
+					group.Go(func() {
+						for range int(seconds / 0.05) {
+							time.Sleep(50 * time.Millisecond)
+							if ask, ok := n.bucket.Ask("x", 1); ok {
+								sent := n.bucket.timer.Now()
+								mu.Lock()
+								g, _ := f.owner.Draw(n.holder, ask, time.Now())
+								mu.Unlock()
+								n.bucket.Add(g, 1, sent)
+							}
+						}
+					})
+				}
+				group.Wait()
+				want := tt.rate * seconds
+				got := float64(admitted.Load())
+				if got < 0.97*want || got > want+tt.burst+tt.rate*MaxWait.Seconds() {
+					t.Fatalf("admitted %.0f of %.0f", got, want)
+				}
+			})
+		})
+	}
+}
--- a/internal/syncer/syncer.go
+++ b/internal/syncer/syncer.go
@@ -338,9 +338,7 @@
 	s.buckets.Range(func(k, v any) bool {
 		account, b := k.(string), v.(*limiter.Bucket)
 		if ask, ok := b.Ask(account, s.epoch); ok {
-			req.Demands = append(req.Demands, &schema.Demand{
-				Account: account, Rate: ask.Rate, Want: ask.Want, Settled: ask.Settled, Unspent: ask.Unspent,
-			})
+			req.Demands = append(req.Demands, demandOf(ask))
 		} else if b.IsIdle() {
 			s.buckets.Delete(account)
 		}
@@ -349,6 +347,16 @@
 	return req
 }
 
+func demandOf(ask limiter.Ask) *schema.Demand {
+	d := &schema.Demand{
+		Account: ask.Account, Rate: ask.Rate, Want: ask.Want, Settled: ask.Settled, Unspent: ask.Unspent,
+	}
+	for _, m := range ask.Marks {
+		d.Marks = append(d.Marks, &schema.SettledMark{AgeMicros: uint64(m.Age.Microseconds()), Settled: m.Settled})
+	}
+	return d
+}
+
 // take applies a served reply.
 func (s *Syncer) take(req *schema.SyncRequest, reply *schema.SyncReply, sent time.Time) {
 	before := s.mirror.Revision()
