Add administration, burn report and experiments; stop the process on a panic

Cause: the experiment with one heavy account hung. A gate's level took an index past the end when a window had answers to none; net/http recovered the panic with the gate locked. Ruled out: lost wake-ups of the queue (the dump shows all goroutines at the gate's lock, ten of them in raise). Change: the index is bounded; a panic in a handler and a broken invariant end the process. Nodes hold back requests to a service that fails most of them, since callers' resends reach other entries. The time between exchanges follows the size of the fleet.

--- a/internal/admitter/level.go
+++ b/internal/admitter/level.go
@@ -90,7 +90,7 @@
 	if keep >= 1 {
 		return
 	}
-	cut := ranks[int(float64(len(ranks))*(1-keep))]
+	cut := ranks[min(len(ranks)-1, int(float64(len(ranks))*(1-keep)))]
 	l.value = max(l.value, cut)
 }
 
--- a/internal/asserter/asserter.go
+++ b/internal/asserter/asserter.go
@@ -3,6 +3,7 @@
 package asserter
 
 import (
+	"os"
 	"sort"
 	"sync/atomic"
 
@@ -75,10 +76,17 @@
 	return func(a *Asserter) { a.onBreak = f }
 }
 
-// New returns an Asserter that panics on a broken invariant, after it logged it.
+// exitStatus is the status of a process that an invariant stopped.
+const exitStatus = 70
+
+// New returns an Asserter that stops the process on a broken invariant, after it logged it. A panic would not do:
+// net/http recovers those of its handlers.
 func New(log *zap.Logger, opts ...Option) *Asserter {
 	a := &Asserter{log: log}
-	a.onBreak = func(i Invariant, detail string) { panic("invariant " + i.String() + " broken: " + detail) }
+	a.onBreak = func(Invariant, string) {
+		_ = log.Sync()
+		os.Exit(exitStatus)
+	}
 	for _, opt := range opts {
 		opt(a)
 	}
@@ -95,7 +103,9 @@
 		return
 	}
 	a.broken[i].Add(1)
-	a.log.Error("invariantBroken", zap.String("invariant", i.String()), zap.String("detail", detail))
+	if a.log != nil {
+		a.log.Error("invariantBroken", zap.String("invariant", i.String()), zap.String("detail", detail))
+	}
 	a.onBreak(i, detail)
 }
 
--- a/internal/cmd/cmd.go
+++ b/internal/cmd/cmd.go
@@ -27,7 +27,13 @@
 
 // commands is the table of all subcommands. A parent stands before its children.
 var commands = []command{
-	cmdServe, cmdCheck, cmdDev, cmdVersion, cmdLoad,
+	cmdServe, cmdCheck, cmdDev, cmdVersion, cmdLoad, cmdExperiment,
+	cmdReport, cmdReportBurn,
+	cmdAdmin,
+	cmdAccount, cmdAccountCreate, cmdAccountSet, cmdAccountShow, cmdAccountList,
+	cmdKey, cmdKeyIssue, cmdKeyWithdraw, cmdKeyList,
+	cmdSettings, cmdSettingsGet, cmdSettingsSet, cmdSettingsUnset,
+	cmdControl, cmdControlStatus, cmdControlRemove, cmdControlTransfer,
 }
 
 // Run runs the binary with its arguments and returns the exit status.
--- /dev/null
+++ b/internal/cmd/cmd_test.go
@@ -0,0 +1,123 @@
+package cmd
+
+import (
+	"bytes"
+	"encoding/json"
+	"net/http"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+
+	"go.uber.org/zap"
+
+	"github.com/lavenderhub/lavenderhub/internal/runner"
+)
+
+// run runs the binary's command line and returns its status and output.
+func run(args ...string) (int, string) {
+	var out bytes.Buffer
+	status := Run(args, &out, &out)
+	return status, out.String()
+}
+
+func TestHelpHasExamples(t *testing.T) {
+	for _, c := range commands {
+		if c.example == "" || c.short == "" {
+			t.Errorf("%s lacks a description or an example", fullName(c))
+		}
+		status, out := run(append(strings.Fields(fullName(c)), "--help")...)
+		if status != 0 || !strings.Contains(out, "Examples:") {
+			t.Errorf("%s --help: %d %s", fullName(c), status, out)
+		}
+	}
+}
+
+func TestCheck(t *testing.T) {
+	file := filepath.Join(t.TempDir(), "s.jsonc")
+	if err := os.WriteFile(file, []byte("{\n  \"colour\": 1\n}\n"), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	status, out := run("check", "--config", file)
+	if status != 1 || !strings.Contains(out, file+":2:3: unknown field \"colour\"") {
+		t.Fatalf("%d %s", status, out)
+	}
+}
+
+// TestAdmin goes through an account's life on a real fleet.
+func TestAdmin(t *testing.T) {
+	fleet, err := runner.StartFleet(t.Context(), demoFleet(), t.TempDir(), zap.NewNop())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer fleet.Kill()
+	tokenFile := filepath.Join(t.TempDir(), "token")
+	if err := os.WriteFile(tokenFile, []byte(fleet.OperatorToken), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	shared := []string{"--token-file", tokenFile}
+	for _, c := range fleet.Controls {
+		shared = append(shared, "--server", c.Settings.GetAddress())
+	}
+	admin := func(line string) (int, string) {
+		return run(append(strings.Fields("admin "+line), shared...)...)
+	}
+	steps := []struct {
+		line   string
+		status int
+		want   string
+	}{
+		{"settings set group/schools rate=40 priority=9", 0, "group/schools version 1: rate=40 priority=9"},
+		{"account create school --group schools burst=80 --request-id r1", 0, "account/school version 1: burst=80"},
+		{"account create school --group schools burst=80 --request-id r1", 0, "account/school version 1: burst=80"},
+		{"account create school --request-id r1", 1, "used for another command"},
+		{"account create school", 1, "exists"},
+		{"account show school", 0, "rate=40                      from group/schools"},
+		{"account list", 0, "school group=schools rate=40 burst=80 priority=9"},
+		{"account set school rate=60 --if-version 1", 0, "version 2: rate=60 burst=80"},
+		{"account set school rate=70 --if-version 1", 1, "has version 2, not 1"},
+		{"account set nobody rate=70", 1, "create the account first"},
+		{"account set school rate=fast", 1, "want a number"},
+		{"account set school speed=1", 1, "no setting"},
+		{"settings unset account/school rate", 0, "version 3: burst=80"},
+		{"settings get account/school --effective", 0, "rate=40"},
+		{"settings set service/dictionary/route/editorial importance=6 idempotent=false", 0, "importance=6"},
+		{"settings set service/dictionary/route/editorial importance=8", 1, "at most 7"},
+		{"key issue school", 0, "lh_"},
+		{"key issue nobody", 1, "no account"},
+		{"key list school", 0, "works"},
+		{"key withdraw k-none", 1, "no key"},
+		{"control status", 0, "control-1"},
+		{"control remove 12", 1, "no such replica"},
+		{"control status --output html", 1, "want text or json"},
+	}
+	for _, s := range steps {
+		if status, out := admin(s.line); status != s.status || !strings.Contains(out, s.want) {
+			t.Fatalf("%s: %d %s", s.line, status, out)
+		}
+	}
+	for range 20 {
+		req, _ := http.NewRequest(http.MethodGet, "http://"+fleet.Workers[0].CallerAddr().String()+"/dictionary/a", http.NoBody)
+		req.Header.Set("Authorization", "Bearer "+fleet.Keys[0].Key)
+		resp, err := http.DefaultClient.Do(req)
+		if err != nil || resp.StatusCode != http.StatusOK {
+			t.Fatalf("%v %v", resp, err)
+		}
+		resp.Body.Close()
+	}
+	for form, want := range map[string]string{"text": "dictionary     demo", "json": `"good":20`, "html": "<svg"} {
+		args := append([]string{"report", "burn", "--output", form}, shared...)
+		if status, out := run(args...); status != 0 || !strings.Contains(out, want) || strings.Contains(out, "no answer") {
+			t.Fatalf("report burn %s: %d %s", form, status, out)
+		}
+	}
+	if _, out := admin("account list --output json"); !json.Valid([]byte(out)) {
+		t.Fatalf("not JSON: %s", out)
+	}
+	if err := os.WriteFile(tokenFile, []byte("wrong"), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	if status, out := admin("account list"); status == 0 || !strings.Contains(out, "token") {
+		t.Fatalf("a wrong token: %d %s", status, out)
+	}
+}
--- a/internal/controller/admin.go
+++ b/internal/controller/admin.go
@@ -52,7 +52,7 @@
 		return err
 	}
 	if !leads {
-		return notLeaderError(refusal.GetLeaderAddress())
+		return NotLeaderError(refusal.GetLeaderAddress())
 	}
 	return nil
 }
--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -68,6 +68,7 @@
 // meters are the controller's metrics.
 type meters struct {
 	syncs    metrics.Timer
+	work     metrics.Timer
 	commands metrics.Counter
 	claims   metrics.Counter
 	writes   metrics.Timer
@@ -78,6 +79,7 @@
 func newMeters(r metrics.Registry) meters {
 	return meters{
 		syncs:    metrics.GetOrRegisterTimer("control.sync", r),
+		work:     metrics.GetOrRegisterTimer("control.syncWork", r),
 		commands: metrics.GetOrRegisterCounter("control.commands", r),
 		claims:   metrics.GetOrRegisterCounter("control.claims", r),
 		writes:   metrics.GetOrRegisterTimer("control.syncedWrite", r),
--- a/internal/controller/handler.go
+++ b/internal/controller/handler.go
@@ -16,7 +16,8 @@
 // LeaderMeta is the key under which an error names the leader's address.
 const LeaderMeta = "leaderAddress"
 
-func notLeaderError(leader string) error {
+// NotLeaderError returns the error of a control host that does not lead.
+func NotLeaderError(leader string) error {
 	return twirp.NewError(twirp.FailedPrecondition, "this control host does not lead; ask the leader").WithMeta(LeaderMeta, leader)
 }
 
--- a/internal/controller/leadership.go
+++ b/internal/controller/leadership.go
@@ -160,15 +160,12 @@
 		n = &nodeState{incarnation: req.GetIncarnation()}
 		l.nodes[req.GetNode()] = n
 	}
-	n.seen, n.revision = now, req.GetHaveRevision()
+	n.seen, n.revision, n.admin = now, req.GetHaveRevision(), req.GetAdminAddress()
 	if resolver.Fingerprint(n.workers) != resolver.Fingerprint(req.GetWorkers()) {
 		l.removeWorkers(n)
 		n.workers = req.GetWorkers()
 		l.addWorkers(n)
 	}
-	for _, w := range n.workers {
-		n.admin = w.GetAdminAddress()
-	}
 }
 
 func (l *leadership) addWorkers(n *nodeState) {
--- a/internal/controller/sync.go
+++ b/internal/controller/sync.go
@@ -16,11 +16,23 @@
 	fleetExchangeRate = 8000
 )
 
+// Bounds on the time between two exchanges of a node. It grows with the fleet, up to the number of nodes given.
+const (
+	minInterval       = 250 * time.Millisecond
+	maxInterval       = time.Second
+	fullIntervalNodes = 400
+)
+
 // Sync serves a node's exchange; it implements the Control service.
 func (c *Controller) Sync(ctx context.Context, req *schema.SyncRequest) (*schema.SyncReply, error) {
 	began := c.timer.Now()
 	var reply *schema.SyncReply
-	if err := c.do(ctx, func(now time.Time) { reply = c.sync(req, now) }); err != nil {
+	err := c.do(ctx, func(now time.Time) {
+		began := c.timer.Now()
+		reply = c.sync(req, now)
+		c.meter.work.UpdateSince(began)
+	})
+	if err != nil {
 		return nil, err
 	}
 	c.meter.syncs.UpdateSince(began)
@@ -59,6 +71,8 @@
 		l.noteNode(req, now)
 	}
 	reply.ExchangeRate = min(maxExchangeRate, max(minExchangeRate, fleetExchangeRate/float64(max(1, len(l.nodes)))))
+	interval := min(maxInterval, max(minInterval, maxInterval*time.Duration(len(l.nodes))/fullIntervalNodes))
+	reply.IntervalMicros = uint64(interval.Microseconds())
 	reply.MembershipComplete = l.isComplete(now)
 	for _, w := range req.GetWatches() {
 		s := l.services[w.GetService()]
@@ -87,6 +101,7 @@
 func askOf(d *schema.Demand) limiter.Ask {
 	ask := limiter.Ask{
 		Account: d.GetAccount(), Rate: d.GetRate(), Want: d.GetWant(), Settled: d.GetSettled(), Unspent: d.GetUnspent(),
+		Waiting: int(d.GetWaiting()),
 	}
 	for _, m := range d.GetMarks() {
 		ask.Marks = append(ask.Marks, limiter.Mark{
--- a/internal/dialer/pool.go
+++ b/internal/dialer/pool.go
@@ -32,6 +32,8 @@
 	timer    *timer.Service
 	began    time.Time
 	peers    sync.Map // netip.AddrPort to *Peer
+	sent     atomic.Int64
+	received atomic.Int64
 }
 
 // NewPool returns an empty pool.
@@ -76,7 +78,7 @@
 func (p *Pool) connect() *connection {
 	var protocols http.Protocols
 	tr := &http.Transport{
-		DialContext:     (&net.Dialer{Timeout: dialTimeout}).DialContext,
+		DialContext:     p.dial,
 		IdleConnTimeout: idleTimeout,
 		Protocols:       &protocols,
 		HTTP2:           http2Config(),
@@ -93,6 +95,39 @@
 	return &connection{transport: tr, ctx: ctx, cancel: cancel}
 }
 
+func (p *Pool) dial(ctx context.Context, network, addr string) (net.Conn, error) {
+	conn, err := (&net.Dialer{Timeout: dialTimeout}).DialContext(ctx, network, addr)
+	if err != nil {
+		return nil, err
+	}
+	return &countedConn{Conn: conn, pool: p}, nil
+}
+
+// Traffic returns the bytes sent and received over all connections of the pool.
+func (p *Pool) Traffic() (sent, received int64) {
+	return p.sent.Load(), p.received.Load()
+}
+
+// countedConn counts the bytes of a connection.
+type countedConn struct {
+	net.Conn
+	pool *Pool
+}
+
+// Read reads and counts.
+func (c *countedConn) Read(b []byte) (int, error) {
+	n, err := c.Conn.Read(b)
+	c.pool.received.Add(int64(n))
+	return n, err
+}
+
+// Write writes and counts.
+func (c *countedConn) Write(b []byte) (int, error) {
+	n, err := c.Conn.Write(b)
+	c.pool.sent.Add(int64(n))
+	return n, err
+}
+
 // Peer is another process of the fleet.
 type Peer struct {
 	pool    *Pool
--- a/internal/dialer/security.go
+++ b/internal/dialer/security.go
@@ -67,9 +67,13 @@
 }
 
 func (s *Security) read() (*material, error) {
-	cert, err := tls.LoadX509KeyPair(s.cfg.GetCertificateFile(), s.cfg.GetPrivateKeyFile())
-	if err != nil {
-		return nil, errors.Wrap(err, "read certificate")
+	// An operator's client has no certificate of its own.
+	cert := tls.Certificate{}
+	if s.cfg.GetCertificateFile() != "" {
+		var err error
+		if cert, err = tls.LoadX509KeyPair(s.cfg.GetCertificateFile(), s.cfg.GetPrivateKeyFile()); err != nil {
+			return nil, errors.Wrap(err, "read certificate")
+		}
 	}
 	pem, err := os.ReadFile(s.cfg.GetAuthorityFile())
 	if err != nil {
--- a/internal/dialer/server.go
+++ b/internal/dialer/server.go
@@ -3,14 +3,20 @@
 import (
 	"context"
 	"crypto/tls"
+	"fmt"
 	"net"
 	"net/http"
 	"net/netip"
+	"os"
+	"runtime/debug"
 
 	"github.com/pkg/errors"
 	"gopkg.in/tomb.v2"
 )
 
+// panicStatus is the status of a process that a panic ended.
+const panicStatus = 70
+
 // Audience tells who connects to a server.
 type Audience int
 
@@ -52,7 +58,7 @@
 	protocols.SetHTTP2(true)
 	protocols.SetUnencryptedHTTP2(true)
 	srv := &http.Server{
-		Handler:           h,
+		Handler:           stopOnPanic(h),
 		Protocols:         &protocols,
 		HTTP2:             http2Config(),
 		ReadHeaderTimeout: headerTimeout,
@@ -72,6 +78,24 @@
 	return &Server{http: srv, listener: ln}
 }
 
+// stopOnPanic ends the process when a handler panics. net/http would go on with whatever the handler left locked.
+func stopOnPanic(h http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		defer func() {
+			cause := recover()
+			if cause == nil {
+				return
+			}
+			if cause == http.ErrAbortHandler {
+				panic(cause)
+			}
+			fmt.Fprintf(os.Stderr, "panic in a handler: %v\n%s", cause, debug.Stack())
+			os.Exit(panicStatus)
+		}()
+		h.ServeHTTP(w, r)
+	})
+}
+
 // Addr returns the address that the server listens on.
 func (s *Server) Addr() netip.AddrPort {
 	addr, _ := netip.ParseAddrPort(s.listener.Addr().String())
--- a/internal/forwarder/caller.go
+++ b/internal/forwarder/caller.go
@@ -199,7 +199,7 @@
 	if ref := f.shedEarly(c); ref != nil {
 		return nil, ref
 	}
-	if ref := f.checkResend(c); ref != nil {
+	if ref := f.checkFailing(c); ref != nil {
 		return nil, ref
 	}
 	if who.terms != nil {
@@ -213,15 +213,34 @@
 	}
 	a, ref := f.dispatchOnce(ctx, r.Header.Get(headerClaim), c)
 	f.Assert.Check(asserter.RetriesBounded, c.budget.Spent() <= c.route.Retries, "")
-	if isFailure(a, ref) {
-		f.resends.Remember(c.digest(), f.Timer.Now())
-	}
+	f.noteEnd(c, a, ref)
 	return a, ref
 }
 
-// checkResend counts a caller's own resend of a request that ran and failed against the ratios of retries.
-func (f *Forwarder) checkResend(c *call) *refuser.Refusal {
-	if f.controls.NoRetryBounds || !f.resends.IsResend(c.digest(), f.Timer.Now()) {
+// noteEnd remembers what a root call that ran says of its service.
+func (f *Forwarder) noteEnd(c *call, a *answer, ref *refuser.Refusal) {
+	if ref != nil && (!ref.IsRun() || ref.Reason == refuser.CallerLeft) {
+		return
+	}
+	now := f.Timer.Now()
+	failed := isFailure(a, ref)
+	f.throttles.Of(c.route.Service).Count(!failed, now)
+	if failed {
+		f.resends.Remember(c.digest(), now)
+	}
+}
+
+// checkFailing holds back what most likely fails: requests to a service that fails most of them, and callers' own
+// resends of requests that ran and failed, which count against the ratios of retries.
+func (f *Forwarder) checkFailing(c *call) *refuser.Refusal {
+	now := f.Timer.Now()
+	if f.controls.NoRetryBounds {
+		return nil
+	}
+	if !f.throttles.Of(c.route.Service).Admit(now) {
+		return refuser.NewRetryable(refuser.NotRun, refuser.UpstreamFailing, "the service fails most requests", resendPause)
+	}
+	if !f.resends.IsResend(c.digest(), now) {
 		return nil
 	}
 	if f.ratios.TakeBoth("account/"+c.account, "service/"+c.route.Service) {
--- a/internal/forwarder/forwarder.go
+++ b/internal/forwarder/forwarder.go
@@ -68,6 +68,7 @@
 	bodyLimit int64
 	levels    router.Levels
 	ratios    retrier.Ratios
+	throttles retrier.Throttles
 	resends   *retrier.Resends
 	live      liveTable
 	active    atomic.Int64
--- a/internal/limiter/owner.go
+++ b/internal/limiter/owner.go
@@ -47,6 +47,8 @@
 	Settled float64
 	// Unspent is the part of Settled that was given up.
 	Unspent float64
+	// Waiting is the number of requests that wait for a token.
+	Waiting int
 	// Marks tell how Settled grew, oldest first.
 	Marks []Mark
 }
--- a/internal/limiter/pool.go
+++ b/internal/limiter/pool.go
@@ -166,23 +166,27 @@
 	return total
 }
 
-// share returns how much of the level one node gets: all it wants when there is plenty, its share of the demand,
-// and at least one token, when there is not.
+// share returns how much of the level one node gets: all it wants when there is plenty, and its share of the demand when
+// there is not. A share of less than one token goes to nodes at which a request waits for it.
 func (p *pool) share(ask Ask, demand float64) float64 {
 	want := max(0, ask.Want)
 	if want == 0 || p.level < 1 {
 		return 0
 	}
-	part := 1.0
+	if p.level > p.burst/2 && p.level >= 2*want {
+		return want
+	}
+	fair := p.level
 	if demand > ask.Rate {
-		part = ask.Rate / demand
+		fair *= ask.Rate / demand
 	}
-	fair := max(1, p.level*part)
-	plenty := p.level > p.burst/2 && p.level >= 2*want
-	if plenty {
-		fair = want
+	if fair < 1 {
+		if ask.Waiting == 0 {
+			return 0
+		}
+		fair = 1
 	}
-	return min(want, fair, p.level)
+	return min(want, fair)
 }
 
 func (p *pool) check(now time.Time) {
--- a/internal/refuser/refusal.go
+++ b/internal/refuser/refusal.go
@@ -48,6 +48,7 @@
 	Settled               Reason = "settled"
 	IdempotencyKeyReused  Reason = "idempotencyKeyReused"
 	IdempotencyKeyExpired Reason = "idempotencyKeyExpired"
+	UpstreamFailing       Reason = "upstreamFailing"
 	CallerLeft            Reason = "callerLeft"
 )
 
--- /dev/null
+++ b/internal/reporter/report.go
@@ -0,0 +1,182 @@
+package reporter
+
+import (
+	"cmp"
+	"encoding/json"
+	"fmt"
+	"io"
+	"slices"
+	"text/tabwriter"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/lavenderhub/lavenderhub/schema"
+)
+
+// Path serves a node's burn counts on its admin address.
+const Path = "/lavenderhub/v1/burn"
+
+// Row is the burn of one service and client account.
+type Row struct {
+	Service   string   `json:"service"`
+	Account   string   `json:"account"`
+	Objective float64  `json:"objective"`
+	BudgetPct float64  `json:"budgetLeftPercent"`
+	Windows   []Window `json:"windows"`
+}
+
+// Window is the burn over one span.
+type Window struct {
+	Span  string `json:"span"`
+	Total uint64 `json:"total"`
+	Good  uint64 `json:"good"`
+	Late  uint64 `json:"late"`
+	// Failed requests ran and gave no whole answer; shed ones were not run.
+	Failed            uint64  `json:"failed"`
+	Shed              uint64  `json:"shed"`
+	RefusedWithinRate uint64  `json:"refusedWithinRate"`
+	OverRate          uint64  `json:"overRate"`
+	GoodPct           float64 `json:"goodPercent"`
+	// Burn is the speed at which the error budget is used: 1 uses it up in exactly the objective's period.
+	Burn float64 `json:"burn"`
+}
+
+// Report is the burn of a fleet, the worst-served client account first.
+type Report struct {
+	Rows []Row `json:"rows"`
+	// Missing names the nodes that did not answer.
+	Missing []string `json:"missing,omitempty"`
+}
+
+// Merge adds up the reports of nodes.
+func Merge(reports []*schema.BurnReport) *Report {
+	sums := map[rowKey]*schema.BurnRow{}
+	for _, r := range reports {
+		for _, row := range r.GetRows() {
+			k := rowKey{row.GetService(), row.GetAccount()}
+			if sums[k] == nil {
+				sums[k] = &schema.BurnRow{Service: k.service, Account: k.account}
+			}
+			add(sums[k], row)
+		}
+	}
+	out := &Report{}
+	for _, row := range sums {
+		out.Rows = append(out.Rows, newRow(row))
+	}
+	slices.SortFunc(out.Rows, compareRows)
+	return out
+}
+
+func add(sum, row *schema.BurnRow) {
+	sum.Objective = max(sum.Objective, row.GetObjective())
+	for i, w := range row.GetWindows() {
+		if i == len(sum.Windows) {
+			sum.Windows = append(sum.Windows, &schema.BurnWindow{Seconds: w.GetSeconds(), Counts: &schema.BurnCounts{}})
+		}
+		s, c := sum.Windows[i].Counts, w.GetCounts()
+		s.Good += c.GetGood()
+		s.Late += c.GetLate()
+		s.Failed += c.GetFailed()
+		s.Shed += c.GetShed()
+		s.RefusedWithinRate += c.GetRefusedWithinRate()
+		s.OverRate += c.GetOverRate()
+	}
+}
+
+func newRow(row *schema.BurnRow) Row {
+	out := Row{Service: row.GetService(), Account: row.GetAccount(), Objective: row.GetObjective()}
+	for _, w := range row.GetWindows() {
+		out.Windows = append(out.Windows, newWindow(w, row.GetObjective()))
+	}
+	if n := len(out.Windows); n > 0 {
+		out.BudgetPct = 100 * (1 - out.Windows[n-1].Burn)
+	}
+	return out
+}
+
+func newWindow(w *schema.BurnWindow, objective float64) Window {
+	c := w.GetCounts()
+	bad := c.GetLate() + c.GetFailed() + c.GetShed() + c.GetRefusedWithinRate()
+	out := Window{
+		Span: spanName(time.Duration(w.GetSeconds()) * time.Second), Total: c.GetGood() + bad, Good: c.GetGood(), Late: c.GetLate(),
+		Failed: c.GetFailed(), Shed: c.GetShed(), RefusedWithinRate: c.GetRefusedWithinRate(), OverRate: c.GetOverRate(), GoodPct: 100,
+	}
+	if out.Total > 0 {
+		share := float64(bad) / float64(out.Total)
+		out.GoodPct = 100 * (1 - share)
+		out.Burn = share / max(1-objective, 1e-9)
+	}
+	return out
+}
+
+func spanName(d time.Duration) string {
+	const day = 24 * time.Hour
+	switch {
+	case d%day == 0:
+		return fmt.Sprintf("%dd", d/day)
+	case d%time.Hour == 0:
+		return fmt.Sprintf("%dh", d/time.Hour)
+	default:
+		return fmt.Sprintf("%dm", d/time.Minute)
+	}
+}
+
+// compareRows puts the row with the smallest share of good requests first.
+func compareRows(a, b Row) int {
+	return cmp.Or(
+		cmp.Compare(goodShare(a), goodShare(b)),
+		cmp.Compare(a.Service, b.Service), cmp.Compare(a.Account, b.Account))
+}
+
+// hourWindow is the index of the window by which rows are ordered.
+const hourWindow = 2
+
+func goodShare(r Row) float64 {
+	if len(r.Windows) <= hourWindow {
+		return 100
+	}
+	return r.Windows[hourWindow].GoodPct
+}
+
+// Write writes the report as text, json or html.
+func (r *Report) Write(w io.Writer, form string) error {
+	switch form {
+	case "json":
+		return errors.Wrap(json.NewEncoder(w).Encode(r), "encode report")
+	case "html":
+		return r.writeHTML(w)
+	case "text":
+		return r.writeText(w)
+	default:
+		return errors.Errorf("bad output %q, want text, json or html", form)
+	}
+}
+
+func (r *Report) writeText(w io.Writer) error {
+	t := tabwriter.NewWriter(w, 0, 0, 2, ' ', tabwriter.AlignRight)
+	fmt.Fprint(t, "service\taccount\tobjective\tbudget left %\t")
+	for _, span := range Windows {
+		fmt.Fprintf(t, "burn %s\t", spanName(span))
+	}
+	fmt.Fprint(t, "good % 1h\tlate\tfailed\tshed\trefused within rate\tover rate\t\n")
+	for _, row := range r.Rows {
+		fmt.Fprintf(t, "%s\t%s\t%g\t%.1f\t", row.Service, row.Account, row.Objective, row.BudgetPct)
+		for _, one := range row.Windows {
+			fmt.Fprintf(t, "%.2f\t", one.Burn)
+		}
+		if len(row.Windows) > hourWindow {
+			h := row.Windows[hourWindow]
+			fmt.Fprintf(t, "%.3f\t%d\t%d\t%d\t%d\t%d\t", h.GoodPct, h.Late, h.Failed, h.Shed, h.RefusedWithinRate, h.OverRate)
+		}
+		fmt.Fprint(t, "\n")
+	}
+	if err := t.Flush(); err != nil {
+		return err
+	}
+	for _, m := range r.Missing {
+		fmt.Fprintf(w, "no answer from %s\n", m)
+	}
+	return nil
+}
--- a/internal/resolver/view.go
+++ b/internal/resolver/view.go
@@ -238,7 +238,7 @@
 	sum := uint64(0)
 	for _, w := range workers {
 		text := strings.Join([]string{
-			w.GetNode(), w.GetService(), w.GetPeerAddress(), w.GetFailureDomain(), w.GetRegion(), w.GetAdminAddress(),
+			w.GetNode(), w.GetService(), w.GetPeerAddress(), w.GetFailureDomain(), w.GetRegion(),
 			strconv.FormatUint(uint64(w.GetSlots()), 10), w.GetState().String(),
 		}, "\n")
 		sum ^= xxhash.Sum64String(text)
--- a/internal/responder/responder.go
+++ b/internal/responder/responder.go
@@ -8,7 +8,6 @@
 	"net/http"
 	"net/netip"
 	"strconv"
-	"sync"
 	"sync/atomic"
 	"time"
 
@@ -27,6 +26,8 @@
 	announceTimeout = 400 * time.Millisecond
 	// stopLimit bounds the wait for requests in progress.
 	stopLimit = 10 * time.Second
+	// connectionsPerSlot is the number of requests that an upstream takes in for each slot.
+	connectionsPerSlot = 8
 	// defaultSize is the length of an answer's body in bytes unless the request says otherwise.
 	defaultSize = 512
 	// maxSize bounds it.
@@ -37,12 +38,16 @@
 type Config struct {
 	Service string
 	Slots   int
+	// Connections is how many requests the upstream takes in; those beyond its slots wait. Zero means eight for each slot.
+	Connections int
 	// Time is how long a request takes in the upstream itself.
 	Time time.Duration
 	// Calls are the services that every request calls in turn.
 	Calls []string
 	// Node is the caller address of the node beside the upstream.
 	Node netip.AddrPort
+	// Runs counts the requests by method and id, when it is set. Several upstreams may share it.
+	Runs *Runs
 	// OnRequest sees every request, before it is worked on.
 	OnRequest func(r *http.Request, body []byte)
 	// Handle takes the place of the usual work.
@@ -56,17 +61,22 @@
 	tomb   tomb.Tomb
 	server *dialer.Server
 	slots  chan struct{}
+	conns  chan struct{}
 	client *http.Client
 	state  atomic.Value
 	factor atomic.Int64 // service time in percent
 	broken atomic.Bool
-	runs   sync.Map // string to *atomic.Int64
 	served atomic.Int64
 }
 
 // Start listens on loopback, serves, and announces itself to its node.
 func Start(cfg Config, t *timer.Service) (*Responder, error) {
-	r := &Responder{cfg: cfg, timer: t, slots: make(chan struct{}, cfg.Slots), client: newClient()}
+	if cfg.Connections == 0 {
+		cfg.Connections = connectionsPerSlot * cfg.Slots
+	}
+	r := &Responder{
+		cfg: cfg, timer: t, slots: make(chan struct{}, cfg.Slots), conns: make(chan struct{}, cfg.Connections), client: newClient(),
+	}
 	r.state.Store("ready")
 	r.factor.Store(100)
 	security, err := dialer.NewSecurity(nil, t)
@@ -106,32 +116,6 @@
 	r.broken.Store(on)
 }
 
-// Runs returns how often a request with an id was run.
-func (r *Responder) Runs(id string) int64 {
-	if n, ok := r.runs.Load(id); ok {
-		return n.(*atomic.Int64).Load()
-	}
-	return 0
-}
-
-// MaxRuns returns the highest number of runs of any id, and the number of ids.
-func (r *Responder) MaxRuns() (highest int64, ids int) {
-	r.runs.Range(func(_, v any) bool {
-		highest = max(highest, v.(*atomic.Int64).Load())
-		ids++
-		return true
-	})
-	return highest, ids
-}
-
-// EachRun calls f with every id and how often it was run.
-func (r *Responder) EachRun(f func(id string, n int64)) {
-	r.runs.Range(func(k, v any) bool {
-		f(k.(string), v.(*atomic.Int64).Load())
-		return true
-	})
-}
-
 // Served returns the number of requests that were worked on to the end.
 func (r *Responder) Served() int64 {
 	return r.served.Load()
@@ -211,20 +195,27 @@
 		r.cfg.OnRequest(req, body)
 	}
 	id := req.URL.Query().Get("id")
-	n, _ := r.runs.LoadOrStore(id, &atomic.Int64{})
-	n.(*atomic.Int64).Add(1)
+	if r.cfg.Runs != nil {
+		r.cfg.Runs.add(req.Method, id)
+	}
 	if r.cfg.Handle != nil {
 		r.cfg.Handle(w, req)
 		return
 	}
 	select {
-	case r.slots <- struct{}{}:
-		defer func() { <-r.slots }()
+	case r.conns <- struct{}{}:
+		defer func() { <-r.conns }()
 	default:
-		// More requests at once than slots: the upstream sheds load itself.
+		// More requests at once than connections: the upstream sheds load itself.
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return
 	}
+	select {
+	case r.slots <- struct{}{}:
+		defer func() { <-r.slots }()
+	case <-req.Context().Done():
+		return
+	}
 	if err := r.work(req); err != nil {
 		w.WriteHeader(http.StatusBadGateway)
 		return
--- a/internal/retrier/ratio.go
+++ b/internal/retrier/ratio.go
@@ -52,6 +52,20 @@
 	return found.(*Ratio)
 }
 
+// Throttles holds one Throttle for each name. It is safe for concurrent use.
+type Throttles struct {
+	byName sync.Map
+}
+
+// Of returns the Throttle of a name.
+func (t *Throttles) Of(name string) *Throttle {
+	if found, ok := t.byName.Load(name); ok {
+		return found.(*Throttle)
+	}
+	found, _ := t.byName.LoadOrStore(name, NewThrottle())
+	return found.(*Throttle)
+}
+
 // TakeBoth uses one retry of each of two names, or of neither.
 func (r *Ratios) TakeBoth(a, b string) bool {
 	if !r.Of(a).Take() {
--- /dev/null
+++ b/internal/runner/admin.go
@@ -0,0 +1,91 @@
+package runner
+
+import (
+	"net/http"
+	"net/netip"
+	"sync/atomic"
+
+	"github.com/uptrace/bunrouter"
+	"google.golang.org/protobuf/encoding/protojson"
+	"gopkg.in/tomb.v2"
+
+	"github.com/lavenderhub/lavenderhub/internal/dialer"
+	"github.com/lavenderhub/lavenderhub/internal/exporter"
+	"github.com/lavenderhub/lavenderhub/internal/reporter"
+	"github.com/lavenderhub/lavenderhub/schema"
+)
+
+// Admin serves health, readiness, metrics and burn counts of a process.
+type Admin struct {
+	Base
+	tomb   tomb.Tomb
+	server *dialer.Server
+	node   atomic.Pointer[Node]
+}
+
+// StartAdmin opens the admin address.
+func StartAdmin(b Base, addr netip.AddrPort) (*Admin, error) {
+	a := &Admin{Base: b}
+	var err error
+	a.server, err = b.Security.Listen(&a.tomb, addr, dialer.Operators, a.handler())
+	return a, err
+}
+
+// SetNode names the node of the process.
+func (a *Admin) SetNode(n *Node) {
+	a.node.Store(n)
+}
+
+// Addr returns the address that it listens on.
+func (a *Admin) Addr() netip.AddrPort {
+	return a.server.Addr()
+}
+
+// Close ends the server.
+func (a *Admin) Close() error {
+	err := a.server.Close()
+	a.tomb.Kill(nil)
+	if tombErr := a.tomb.Wait(); err == nil {
+		err = tombErr
+	}
+	return err
+}
+
+func (a *Admin) handler() http.Handler {
+	r := bunrouter.New()
+	r.GET("/lavenderhub/v1/healthz", func(w http.ResponseWriter, _ bunrouter.Request) error {
+		_, err := w.Write([]byte("ok\n"))
+		return err
+	})
+	r.GET("/lavenderhub/v1/readyz", a.serveReady)
+	r.GET("/lavenderhub/v1/metrics", func(w http.ResponseWriter, _ bunrouter.Request) error {
+		w.Header().Set("Content-Type", "text/plain; version=0.0.4")
+		return exporter.Write(w, a.Registry, a.Assert)
+	})
+	r.GET(reporter.Path, a.serveBurn)
+	return r
+}
+
+func (a *Admin) serveReady(w http.ResponseWriter, _ bunrouter.Request) error {
+	if n := a.node.Load(); n != nil && !n.IsReady() {
+		w.WriteHeader(http.StatusServiceUnavailable)
+		_, err := w.Write([]byte("no fresh certificate from a control host\n"))
+		return err
+	}
+	_, err := w.Write([]byte("ok\n"))
+	return err
+}
+
+func (a *Admin) serveBurn(w http.ResponseWriter, _ bunrouter.Request) error {
+	report := &schema.BurnReport{}
+	if n := a.node.Load(); n != nil {
+		report = n.Report()
+	}
+	data, err := protojson.Marshal(report)
+	if err != nil {
+		return err
+	}
+	w.Header().Set("Content-Type", "application/json")
+	_, err = w.Write(data)
+	return err
+}
--- a/internal/runner/fleet.go
+++ b/internal/runner/fleet.go
@@ -44,6 +44,8 @@
 	Workers   []*FleetWorker
 	operator  *Operator
 	addresses []string
+	// Runs counts the requests that the stand-ins of each service ran.
+	Runs map[string]*responder.Runs
 }
 
 // AccountKey is a client account with its key.
@@ -62,6 +64,7 @@
 // FleetWorker is one stand-in upstream with its node.
 type FleetWorker struct {
 	*Node
+	Admin     *Admin
 	Responder *responder.Responder
 	Service   string
 	Settings  *schema.NodeSettings
@@ -94,7 +97,7 @@
 		Base: Base{
 			Timer: t, Log: log, Assert: asserter.New(log), Registry: metrics.NewRegistry(), Security: security, FleetToken: fleetToken,
 		},
-		cfg: cfg, folder: folder, OperatorToken: operatorToken, ports: &ports{next: cfg.GetFirstPort()},
+		cfg: cfg, folder: folder, OperatorToken: operatorToken, ports: &ports{next: cfg.GetFirstPort()}, Runs: map[string]*responder.Runs{},
 	}
 	for _, opt := range opts {
 		opt(f)
@@ -113,6 +116,7 @@
 		return err
 	}
 	for _, s := range f.cfg.GetServices() {
+		f.Runs[s.GetName()] = responder.NewRuns()
 		for i, w := range s.GetWorkers() {
 			if err := f.addWorker(s, w, i); err != nil {
 				return err
@@ -177,8 +181,12 @@
 		},
 		spec: responder.Config{
 			Service: s.GetName(), Slots: int(w.GetSlots()), Time: w.GetServiceTime().AsDuration(), Calls: s.GetCalls(), Node: callers,
+			Runs: f.Runs[s.GetName()],
 		},
 	}
+	if worker.Admin, err = StartAdmin(f.Base, netip.AddrPortFrom(callers.Addr(), 0)); err != nil {
+		return err
+	}
 	f.Workers = append(f.Workers, worker)
 	if err := f.StartNode(worker); err != nil {
 		return err
@@ -188,9 +196,13 @@
 
 // StartNode starts the node of a worker, again after it ended.
 func (f *Fleet) StartNode(w *FleetWorker) error {
-	n, err := StartNode(f.Base, w.Settings, netip.AddrPort{}, f.baseline)
+	n, err := StartNode(f.Base, w.Settings, w.Admin.Addr(), f.baseline)
+	if err != nil {
+		return err
+	}
 	w.Node = n
-	return err
+	w.Admin.SetNode(n)
+	return nil
 }
 
 // StartResponder starts the upstream of a worker, again after it ended.
@@ -302,6 +314,7 @@
 	}
 	for _, w := range f.Workers {
 		note(w.Kill())
+		note(w.Admin.Close())
 	}
 	for _, c := range f.Controls {
 		note(c.Stop())
@@ -318,6 +331,7 @@
 		if w.Node != nil {
 			_ = w.Kill()
 		}
+		_ = w.Admin.Close()
 	}
 	for _, c := range f.Controls {
 		if c.Control != nil {
--- a/internal/runner/node.go
+++ b/internal/runner/node.go
@@ -50,6 +50,8 @@
 	Gate     []admitter.Option
 	Router   []router.Option
 	Controls forwarder.Controls
+	// SplitOver gives each of so many nodes an equal part of every rate.
+	SplitOver int
 }
 
 // Node is a running node.
@@ -86,7 +88,7 @@
 		_ = callers.Close()
 		return nil, err
 	}
-	if err := n.newSyncer(hops.Addr(), admin); err != nil {
+	if err := n.newSyncer(hops.Addr(), admin, baseline.SplitOver); err != nil {
 		return nil, err
 	}
 	n.newForwarder(baseline.Controls)
@@ -115,7 +117,7 @@
 	n.forwarder.ServeCaller(w, r)
 }
 
-func (n *Node) newSyncer(own net.Addr, admin netip.AddrPort) error {
+func (n *Node) newSyncer(own net.Addr, admin netip.AddrPort, splitOver int) error {
 	peerAddr, err := netip.ParseAddrPort(own.String())
 	if err != nil {
 		return errors.Wrap(err, "peer address")
@@ -134,7 +136,7 @@
 			PeerAddress: peerAddr, Admin: admin,
 		},
 		Control: addresses, Token: n.FleetToken, Timer: n.Timer, Log: n.Log, Assert: n.Assert, Registry: n.Registry,
-		Pool: n.control, Router: n.router, Announcer: n.announcer,
+		Pool: n.control, Router: n.router, Announcer: n.announcer, SplitOver: splitOver,
 	})
 	return nil
 }
@@ -172,6 +174,11 @@
 	return 0
 }
 
+// ControlTraffic returns the bytes that the node has exchanged with control hosts.
+func (n *Node) ControlTraffic() (sent, received int64) {
+	return n.control.Traffic()
+}
+
 // Report returns the node's burn counts.
 func (n *Node) Report() *schema.BurnReport {
 	return n.recorder.Report()
--- a/internal/runner/operator.go
+++ b/internal/runner/operator.go
@@ -60,6 +60,16 @@
 	return schema.NewAdminProtobufClient(peer.URL(""), &http.Client{Transport: &bearer{peer: peer, token: o.token}}), nil
 }
 
+// Peer returns another process of the fleet.
+func (o *Operator) Peer(addr netip.AddrPort) *dialer.Peer {
+	return o.pool.Peer(addr)
+}
+
+// NotLeader returns the error of a control host that does not lead.
+func NotLeader(leader string) error {
+	return controller.NotLeaderError(leader)
+}
+
 // Change sends a command until its outcome is known or the context ends.
 func (o *Operator) Change(ctx context.Context, cmd *schema.Command) (*schema.Result, error) {
 	if cmd.GetRequestId() == "" {
--- a/internal/runner/process.go
+++ b/internal/runner/process.go
@@ -1,33 +1,24 @@
 package runner
 
 import (
-	"net/http"
 	"net/netip"
 	"os"
 	"strings"
 
 	"github.com/pkg/errors"
 	"github.com/rcrowley/go-metrics"
-	"github.com/uptrace/bunrouter"
 	"go.uber.org/zap"
-	"google.golang.org/protobuf/encoding/protojson"
-	"gopkg.in/tomb.v2"
 
 	"github.com/lavenderhub/lavenderhub/internal/asserter"
 	"github.com/lavenderhub/lavenderhub/internal/dialer"
-	"github.com/lavenderhub/lavenderhub/internal/exporter"
 	"github.com/lavenderhub/lavenderhub/internal/timer"
 	"github.com/lavenderhub/lavenderhub/schema"
 )
 
-// BurnPath serves a node's burn counts on the admin address.
-const BurnPath = "/lavenderhub/v1/burn"
-
 // Process is a running process with the roles of its settings.
 type Process struct {
 	Base
-	tomb    tomb.Tomb
-	admin   *dialer.Server
+	admin   *Admin
 	node    *Node
 	control *Control
 }
@@ -69,7 +60,7 @@
 		if err != nil {
 			return errors.Wrap(err, "admin address")
 		}
-		if p.admin, err = p.Security.Listen(&p.tomb, addr, dialer.Operators, p.handler()); err != nil {
+		if p.admin, err = StartAdmin(p.Base, addr); err != nil {
 			return err
 		}
 		admin = p.admin.Addr()
@@ -79,6 +70,9 @@
 	}
 	var err error
 	p.node, err = StartNode(p.Base, cfg.GetNode(), admin, Baseline{})
+	if err == nil && p.admin != nil {
+		p.admin.SetNode(p.node)
+	}
 	return err
 }
 
@@ -98,42 +92,6 @@
 	return token, nil
 }
 
-// handler serves the admin address.
-func (p *Process) handler() http.Handler {
-	r := bunrouter.New()
-	r.GET("/lavenderhub/v1/healthz", func(w http.ResponseWriter, _ bunrouter.Request) error {
-		_, err := w.Write([]byte("ok\n"))
-		return err
-	})
-	r.GET("/lavenderhub/v1/readyz", func(w http.ResponseWriter, _ bunrouter.Request) error {
-		if p.node != nil && !p.node.IsReady() {
-			w.WriteHeader(http.StatusServiceUnavailable)
-			_, err := w.Write([]byte("no fresh certificate from a control host\n"))
-			return err
-		}
-		_, err := w.Write([]byte("ok\n"))
-		return err
-	})
-	r.GET("/lavenderhub/v1/metrics", func(w http.ResponseWriter, _ bunrouter.Request) error {
-		w.Header().Set("Content-Type", "text/plain; version=0.0.4")
-		return exporter.Write(w, p.Registry, p.Assert)
-	})
-	r.GET(BurnPath, func(w http.ResponseWriter, _ bunrouter.Request) error {
-		report := &schema.BurnReport{}
-		if p.node != nil {
-			report = p.node.Report()
-		}
-		data, err := protojson.Marshal(report)
-		if err != nil {
-			return err
-		}
-		w.Header().Set("Content-Type", "application/json")
-		_, err = w.Write(data)
-		return err
-	})
-	return r
-}
-
 // Failed is closed when a role ended by itself.
 func (p *Process) Failed() <-chan struct{} {
 	if p.control == nil {
@@ -159,9 +117,5 @@
 	if p.admin != nil {
 		note(p.admin.Close())
 	}
-	p.tomb.Kill(nil)
-	if p.admin != nil {
-		note(p.tomb.Wait())
-	}
 	return first
 }
--- a/internal/syncer/claims.go
+++ b/internal/syncer/claims.go
@@ -5,7 +5,6 @@
 	"time"
 
 	"github.com/pkg/errors"
-	"google.golang.org/protobuf/proto"
 
 	"github.com/lavenderhub/lavenderhub/schema"
 )
@@ -57,10 +56,3 @@
 		}
 	}
 }
-
-// measure counts an exchange's time and bytes.
-func (s *Syncer) measure(req *schema.SyncRequest, reply *schema.SyncReply, sent time.Time) {
-	s.meter.exchanges.UpdateSince(sent)
-	s.meter.sent.Inc(int64(proto.Size(req)))
-	s.meter.received.Inc(int64(proto.Size(reply)))
-}
--- a/internal/syncer/syncer.go
+++ b/internal/syncer/syncer.go
@@ -28,8 +28,8 @@
 )
 
 const (
-	// Interval is the time between two exchanges without news.
-	Interval = time.Second
+	// firstInterval is the time between two exchanges until the leader says otherwise.
+	firstInterval = 250 * time.Millisecond
 	// firstExchangeRate is how many exchanges a second a node makes at most until the leader says otherwise.
 	firstExchangeRate = 10
 	// exchangeBurst is how many of them may follow each other at once.
@@ -65,6 +65,8 @@
 	Pool      *dialer.Pool
 	Router    *router.Router
 	Announcer *announcer.Announcer
+	// SplitOver is a baseline for measurements: each node gets an equal part of every rate.
+	SplitOver int
 }
 
 // Syncer is a node's side of the exchange. Its own state belongs to one goroutine; the view, the certificate and the
@@ -92,14 +94,15 @@
 	next      int
 	held      map[string][]*schema.Worker
 	pace      *rate.Limiter
+	interval  time.Duration
 	meter     meters
 }
 
 type meters struct {
 	exchanges metrics.Timer
 	failures  metrics.Counter
-	sent      metrics.Counter
-	received  metrics.Counter
+	sent      metrics.Gauge
+	received  metrics.Gauge
 }
 
 // New returns a Syncer that has not exchanged anything.
@@ -108,12 +111,12 @@
 		Parts: p, incarnation: rand.Uint64(), began: p.Timer.Now(), kicks: make(chan struct{}, 1),
 		watches: map[string]bool{}, rounds: make(chan struct{}), mirror: resolver.NewMirror(),
 		addresses: p.Control, held: map[string][]*schema.Worker{},
-		pace: rate.NewLimiter(firstExchangeRate, exchangeBurst),
+		pace: rate.NewLimiter(firstExchangeRate, exchangeBurst), interval: firstInterval,
 		meter: meters{
 			exchanges: metrics.GetOrRegisterTimer("sync.exchanges", p.Registry),
 			failures:  metrics.GetOrRegisterCounter("sync.failures", p.Registry),
-			sent:      metrics.GetOrRegisterCounter("sync.bytesSent", p.Registry),
-			received:  metrics.GetOrRegisterCounter("sync.bytesReceived", p.Registry),
+			sent:      metrics.GetOrRegisterGauge("sync.bytesSent", p.Registry),
+			received:  metrics.GetOrRegisterGauge("sync.bytesReceived", p.Registry),
 		},
 	}
 	if len(s.addresses) > 0 {
@@ -170,10 +173,20 @@
 	if found, ok := s.buckets.Load(account); ok {
 		return found.(*limiter.Bucket)
 	}
-	found, _ := s.buckets.LoadOrStore(account, limiter.NewBucket(s.Timer, s.Assert, s.Kick))
+	found, _ := s.buckets.LoadOrStore(account, limiter.NewBucket(s.Timer, s.Assert, s.Kick, s.split(account)...))
 	return found.(*limiter.Bucket)
 }
 
+// split returns the options of a bucket under the baseline that splits each rate over the nodes.
+func (s *Syncer) split(account string) []limiter.BucketOption {
+	if s.SplitOver == 0 {
+		return nil
+	}
+	terms := s.View().Terms(account)
+	n := float64(s.SplitOver)
+	return []limiter.BucketOption{limiter.WithOwnRate(terms.Rate/n, terms.Burst/n)}
+}
+
 // Kick asks for an exchange soon.
 func (s *Syncer) Kick() {
 	select {
@@ -246,7 +259,7 @@
 		_ = s.Timer.Sleep(ctx, retryPause/2+rand.N(retryPause))
 		return
 	}
-	sub := s.Timer.After(Interval*9/10 + rand.N(Interval/10))
+	sub := s.Timer.After(s.interval*9/10 + rand.N(s.interval/10))
 	defer sub.Stop()
 	select {
 	case <-sub.C:
@@ -276,7 +289,8 @@
 		s.Pool.Peer(addr).Drop()
 		return err
 	}
-	s.measure(req, reply, sent)
+	s.meter.exchanges.UpdateSince(sent)
+	s.measureTraffic()
 	if reply.GetStatus() != schema.ReplyStatus_REPLY_STATUS_OK {
 		s.redirect(reply)
 		return errNotServed
@@ -286,6 +300,12 @@
 	return nil
 }
 
+func (s *Syncer) measureTraffic() {
+	sent, received := s.Pool.Traffic()
+	s.meter.sent.Update(sent)
+	s.meter.received.Update(received)
+}
+
 // redirect turns to the leader that a reply names, or to the next control host.
 func (s *Syncer) redirect(reply *schema.SyncReply) {
 	s.next++
@@ -325,9 +345,12 @@
 	req := &schema.SyncRequest{
 		Node: s.Node.Name, Incarnation: s.incarnation, HaveRevision: s.mirror.Revision(), Epoch: s.epoch, Leaving: leaving,
 	}
+	if s.Node.Admin.IsValid() {
+		req.AdminAddress = s.Node.Admin.String()
+	}
 	for _, w := range s.Announcer.Workers() {
 		w.Node, w.FailureDomain, w.Region = s.Node.Name, s.Node.Domain, s.Node.Region
-		w.PeerAddress, w.AdminAddress = s.Node.PeerAddress.String(), s.Node.Admin.String()
+		w.PeerAddress = s.Node.PeerAddress.String()
 		req.Workers = append(req.Workers, w)
 	}
 	s.mu.Lock()
@@ -350,6 +373,7 @@
 func demandOf(ask limiter.Ask) *schema.Demand {
 	d := &schema.Demand{
 		Account: ask.Account, Rate: ask.Rate, Want: ask.Want, Settled: ask.Settled, Unspent: ask.Unspent,
+		Waiting: uint32(ask.Waiting),
 	}
 	for _, m := range ask.Marks {
 		d.Marks = append(d.Marks, &schema.SettledMark{AgeMicros: uint64(m.Age.Microseconds()), Settled: m.Settled})
@@ -382,6 +406,7 @@
 		}, req.GetEpoch(), sent)
 	}
 	s.takeAddresses(reply)
+	s.interval = max(firstInterval, time.Duration(reply.GetIntervalMicros())*time.Microsecond)
 	s.pace.SetLimit(rate.Limit(reply.GetExchangeRate()))
 	s.mu.Lock()
 	close(s.rounds)
