--- a/internal/dialer/pool.go
+++ b/internal/dialer/pool.go
@@ -9,36 +9,50 @@
 	"sync/atomic"
 	"time"
 
-	"github.com/pkg/errors"
+	"gopkg.in/tomb.v2"
 
 	"github.com/lavenderhub/lavenderhub/internal/timer"
 )
 
-const (
-	// ProvenFor is how long after its last sign of life a connection needs no proof.
-	ProvenFor = 250 * time.Millisecond
-	// proofTimeout bounds the proof of a connection.
-	proofTimeout = 200 * time.Millisecond
-	// PingPath answers proofs of a connection.
-	PingPath = "/lavenderhub/v1/ping"
-)
-
-// ErrSilent is returned when a peer does not answer on a fresh connection either.
-var ErrSilent = errors.New("peer is silent")
-
 // Pool keeps one Peer for each address. It is safe for concurrent use.
 type Pool struct {
 	security *Security
 	timer    *timer.Service
 	began    time.Time
+	connect  DialFunc
+	tomb     tomb.Tomb
 	peers    sync.Map // netip.AddrPort to *Peer
 	sent     atomic.Int64
 	received atomic.Int64
 }
 
+// DialFunc opens a connection.
+type DialFunc func(ctx context.Context, network, address string) (net.Conn, error)
+
+// PoolOption changes a Pool under construction.
+type PoolOption func(*Pool)
+
+// WithDial replaces the function that opens connections. A nil function changes nothing.
+func WithDial(dial DialFunc) PoolOption {
+	return func(p *Pool) {
+		if dial != nil {
+			p.connect = dial
+		}
+	}
+}
+
 // NewPool returns an empty pool.
-func NewPool(s *Security, t *timer.Service) *Pool {
-	return &Pool{security: s, timer: t, began: t.Now()}
+func NewPool(s *Security, t *timer.Service, opts ...PoolOption) *Pool {
+	p := &Pool{security: s, timer: t, began: t.Now(), connect: (&net.Dialer{Timeout: dialTimeout}).DialContext}
+	for _, opt := range opts {
+		opt(p)
+	}
+	// The group lives until Close, also while no connection is watched.
+	p.tomb.Go(func() error {
+		<-p.tomb.Dying()
+		return nil
+	})
+	return p
 }
 
 // Peer returns the peer at an address.
@@ -47,7 +61,7 @@
 		return found.(*Peer)
 	}
 	fresh := &Peer{pool: p, address: addr}
-	fresh.current.Store(p.connect())
+	fresh.current.Store(p.newConnection())
 	found, _ := p.peers.LoadOrStore(addr, fresh)
 	return found.(*Peer)
 }
@@ -63,8 +77,10 @@
 	})
 }
 
-// Close closes all idle connections.
+// Close ends the watching of connections and closes the idle ones.
 func (p *Pool) Close() {
+	p.tomb.Kill(nil)
+	_ = p.tomb.Wait()
 	p.Retain(func(netip.AddrPort) bool { return false })
 }
 
@@ -72,10 +88,10 @@
 type connection struct {
 	transport *http.Transport
 	ctx       context.Context
-	cancel    context.CancelFunc
+	cancel    context.CancelCauseFunc
 }
 
-func (p *Pool) connect() *connection {
+func (p *Pool) newConnection() *connection {
 	var protocols http.Protocols
 	tr := &http.Transport{
 		DialContext:     p.dial,
@@ -91,12 +107,12 @@
 		protocols.SetHTTP2(true)
 		tr.TLSClientConfig = p.security.clientConfig()
 	}
-	ctx, cancel := context.WithCancel(context.Background())
+	ctx, cancel := context.WithCancelCause(context.Background())
 	return &connection{transport: tr, ctx: ctx, cancel: cancel}
 }
 
 func (p *Pool) dial(ctx context.Context, network, addr string) (net.Conn, error) {
-	conn, err := (&net.Dialer{Timeout: dialTimeout}).DialContext(ctx, network, addr)
+	conn, err := p.connect(ctx, network, addr)
 	if err != nil {
 		return nil, err
 	}
@@ -127,90 +143,3 @@
 	c.pool.sent.Add(int64(n))
 	return n, err
 }
-
-// Peer is another process of the fleet.
-type Peer struct {
-	pool    *Pool
-	address netip.AddrPort
-	current atomic.Pointer[connection]
-	// heard is the time of the last sign of life since the pool began, in nanoseconds, or zero.
-	heard   atomic.Int64
-	proving sync.Mutex
-}
-
-// URL returns the address of a path at the peer.
-func (p *Peer) URL(path string) string {
-	return p.pool.security.Scheme() + "://" + p.address.String() + path
-}
-
-// RoundTrip sends one request. It ends with an error when the connections are dropped meanwhile.
-func (p *Peer) RoundTrip(req *http.Request) (*http.Response, error) {
-	conn := p.current.Load()
-	ctx, cancel := context.WithCancel(req.Context())
-	stop := context.AfterFunc(conn.ctx, cancel)
-	resp, err := conn.transport.RoundTrip(req.WithContext(ctx))
-	if err != nil {
-		stop()
-		cancel()
-		return nil, err
-	}
-	p.hear()
-	resp.Body = &trackedBody{ReadCloser: resp.Body, release: func() {
-		stop()
-		cancel()
-	}}
-	return resp, nil
-}
-
-func (p *Peer) hear() {
-	p.heard.Store(int64(p.pool.timer.Since(p.pool.began)))
-}
-
-// Drop cuts all connections to the peer; the next request dials anew.
-func (p *Peer) Drop() {
-	old := p.current.Swap(p.pool.connect())
-	p.heard.Store(0)
-	old.cancel()
-	old.transport.CloseIdleConnections()
-}
-
-// Prove makes sure that the peer answers on its connection. A silent connection is dropped and one fresh one tried.
-// It returns ErrSilent, and nothing was sent, when that is silent too.
-func (p *Peer) Prove(ctx context.Context) error {
-	if p.isProven() {
-		return nil
-	}
-	p.proving.Lock()
-	defer p.proving.Unlock()
-	if p.isProven() || p.ping(ctx) {
-		return nil
-	}
-	if ctx.Err() != nil {
-		return ctx.Err()
-	}
-	p.Drop()
-	if p.ping(ctx) {
-		return nil
-	}
-	return ErrSilent
-}
-
-func (p *Peer) isProven() bool {
-	heard := time.Duration(p.heard.Load())
-	return heard > 0 && p.pool.timer.Since(p.pool.began)-heard < ProvenFor
-}
-
-func (p *Peer) ping(ctx context.Context) bool {
-	ctx, cancel := context.WithTimeout(ctx, proofTimeout)
-	defer cancel()
-	req, err := http.NewRequestWithContext(ctx, http.MethodGet, p.URL(PingPath), http.NoBody)
-	if err != nil {
-		return false
-	}
-	resp, err := p.RoundTrip(req)
-	if err != nil {
-		return false
-	}
-	_ = resp.Body.Close()
-	return true
-}
--- a/internal/forwarder/attempt.go
+++ b/internal/forwarder/attempt.go
@@ -9,8 +9,11 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/pkg/errors"
+
 	"github.com/lavenderhub/lavenderhub/internal/asserter"
 	"github.com/lavenderhub/lavenderhub/internal/authenticator"
+	"github.com/lavenderhub/lavenderhub/internal/dialer"
 	"github.com/lavenderhub/lavenderhub/internal/refuser"
 	"github.com/lavenderhub/lavenderhub/internal/router"
 	"github.com/lavenderhub/lavenderhub/schema"
@@ -70,7 +73,7 @@
 // hop sends a call to another node. Silent tells that no answer came from it.
 func (f *Forwarder) hop(ctx context.Context, c *call, t *router.Target) (a *answer, ref *refuser.Refusal, p report, silent bool) {
 	peer := f.Pool.Peer(t.Address)
-	if !c.idempotent {
+	if !c.idempotent || c.ran {
 		if err := peer.Prove(ctx); err != nil {
 			return nil, f.unreached(ctx), report{}, ctx.Err() == nil
 		}
@@ -89,7 +92,8 @@
 			return nil, f.unreached(ctx), report{}, ctx.Err() == nil
 		}
 		c.ran = true
-		return nil, f.broken(ctx, err), report{}, true
+		ref = f.broken(ctx, err)
+		return nil, ref, report{}, ref.Reason == refuser.UpstreamBroke
 	}
 	p = readReport(resp.Header)
 	loan.Settle(spentOf(p, loan.Size()))
@@ -183,6 +187,9 @@
 	if ref := endOf(ctx, refuser.Unknown); ref != nil {
 		return ref
 	}
+	if errors.Is(err, dialer.ErrReplaced) {
+		return refuser.New(refuser.Unknown, refuser.ConnectionLost, "the connection to the worker went silent")
+	}
 	return refuser.New(refuser.Unknown, refuser.UpstreamBroke, "the answer broke off: "+reasonOf(err))
 }
 
--- a/internal/forwarder/caller.go
+++ b/internal/forwarder/caller.go
@@ -267,6 +267,8 @@
 		return nil
 	case limiter.Canceled:
 		return endOf(ctx, refuser.NotRun)
+	case limiter.NoAnswer:
+		return notReady()
 	default:
 		if ref := endOf(ctx, refuser.NotRun); ref != nil {
 			return ref
--- a/internal/forwarder/dispatch.go
+++ b/internal/forwarder/dispatch.go
@@ -99,9 +99,23 @@
 	if ref.Outcome == refuser.NotRun {
 		return f.mayReroute(done, ref)
 	}
+	if ref.Reason == refuser.ConnectionLost {
+		return f.mayResume(c, done)
+	}
 	return ref.Reason == refuser.UpstreamBroke && f.mayRetry(c, done, ref.Final)
 }
 
+// mayResume allows another attempt for an idempotent call whose connection went silent while its worker is well. The
+// root call's budget bounds it; the ratios do not, since no upstream is the worse for it.
+func (f *Forwarder) mayResume(c *call, done *attempts) bool {
+	if !c.idempotent || !c.budget.Take() {
+		return false
+	}
+	done.retries++
+	f.meters.retries.Inc(1)
+	return true
+}
+
 // mayReroute allows another worker for a call that no upstream has seen.
 func (f *Forwarder) mayReroute(done *attempts, ref *refuser.Refusal) bool {
 	limit := maxReroutes
--- a/internal/limiter/bucket.go
+++ b/internal/limiter/bucket.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"math"
+	"slices"
 	"sync"
 	"time"
 
@@ -22,6 +23,8 @@
 	// maxMarks bounds the marks of one exchange, and markSpacing is the shortest time between two.
 	maxMarks    = 16
 	markSpacing = 5 * time.Millisecond
+	// MaxSilence is the longest time that a request waits while the owner does not answer.
+	MaxSilence = 2 * time.Second
 	// MaxWait is the longest time that a request waits for a token.
 	MaxWait = 150 * time.Millisecond
 )
@@ -37,6 +40,8 @@
 	OverRate
 	// Canceled: the caller went away.
 	Canceled
+	// NoAnswer: the owner was not heard from, so nothing is known of the rate.
+	NoAnswer
 )
 
 // Bucket spends one account's tokens at one node. It is safe for concurrent use.
@@ -55,6 +60,7 @@
 	demand      float64
 	counted     time.Time
 	fleetDemand float64
+	answered    time.Time
 	asked       time.Time
 	marks       []nodeMark
 	marksSent   int
@@ -112,7 +118,8 @@
 	return b
 }
 
-// Take spends one token. It waits for at most the given time when none is there.
+// Take spends one token. It waits for at most the given time, and no longer than MaxWait after which the owner had its
+// say, when none is there.
 func (b *Bucket) Take(ctx context.Context, wait time.Duration) Decision {
 	b.mu.Lock()
 	now := b.timer.Now()
@@ -133,31 +140,49 @@
 	b.waiters = append(b.waiters, ready)
 	b.mu.Unlock()
 	b.kick()
-	return b.await(ctx, ready, min(wait, MaxWait))
+	return b.await(ctx, ready, now, wait)
 }
 
-func (b *Bucket) await(ctx context.Context, ready chan struct{}, wait time.Duration) Decision {
+func (b *Bucket) await(ctx context.Context, ready chan struct{}, began time.Time, wait time.Duration) Decision {
+	for {
+		decision := b.waitOnce(ctx, ready, min(wait, MaxWait))
+		if decision == Admitted {
+			return Admitted
+		}
+		b.mu.Lock()
+		i := slices.Index(b.waiters, ready)
+		if i < 0 {
+			// The token was handed over while the wait ended.
+			b.mu.Unlock()
+			return Admitted
+		}
+		waited := b.timer.Since(began)
+		heard := b.answered.After(began)
+		if decision == OverRate && !heard && waited < min(wait, MaxSilence) {
+			b.mu.Unlock()
+			b.kick()
+			continue
+		}
+		b.waiters = slices.Delete(b.waiters, i, i+1)
+		b.mu.Unlock()
+		if decision == OverRate && !heard {
+			return NoAnswer
+		}
+		return decision
+	}
+}
+
+func (b *Bucket) waitOnce(ctx context.Context, ready chan struct{}, wait time.Duration) Decision {
 	sub := b.timer.After(wait)
 	defer sub.Stop()
-	decision := Admitted
 	select {
 	case <-ready:
 		return Admitted
 	case <-sub.C:
-		decision = OverRate
+		return OverRate
 	case <-ctx.Done():
-		decision = Canceled
-	}
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	for i, w := range b.waiters {
-		if w == ready {
-			b.waiters = append(b.waiters[:i], b.waiters[i+1:]...)
-			return decision
-		}
+		return Canceled
 	}
-	// The token was handed over while the wait ended.
-	return Admitted
 }
 
 // count adds one arrival to the moving average of the demand.
@@ -295,6 +320,7 @@
 	if epoch != b.epoch {
 		return
 	}
+	b.answered = b.timer.Now()
 	b.marks = b.marks[min(b.marksSent, len(b.marks)):]
 	b.marksSent = 0
 	if g.End <= b.end {
--- a/internal/refuser/refusal.go
+++ b/internal/refuser/refusal.go
@@ -48,6 +48,7 @@
 	Settled               Reason = "settled"
 	IdempotencyKeyReused  Reason = "idempotencyKeyReused"
 	IdempotencyKeyExpired Reason = "idempotencyKeyExpired"
+	ConnectionLost        Reason = "connectionLost"
 	UpstreamFailing       Reason = "upstreamFailing"
 	CallerLeft            Reason = "callerLeft"
 )
@@ -92,7 +93,7 @@
 		return http.StatusUnauthorized
 	case DeadlineExceeded:
 		return http.StatusGatewayTimeout
-	case UpstreamBroke:
+	case UpstreamBroke, ConnectionLost:
 		return http.StatusBadGateway
 	case BadRequest:
 		return http.StatusBadRequest
--- a/internal/retrier/budget.go
+++ b/internal/retrier/budget.go
@@ -26,9 +26,14 @@
 	return true
 }
 
-// Lend reserves all that is left for a nested call. The caller settles the loan when the call has ended.
+// Lend reserves what is left for the work below, but for one retry that is kept here when there are several: a loan whose
+// answer is lost is charged in full. The caller settles the loan when the call has ended.
 func (b *Budget) Lend() *Loan {
-	return &Loan{budget: b, size: b.reserve(b.left.Load())}
+	left := b.left.Load()
+	if left > 1 {
+		left--
+	}
+	return &Loan{budget: b, size: b.reserve(left)}
 }
 
 // reserve takes up to n retries and returns how many it took.
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -118,6 +118,17 @@
 	}
 }
 
+// Ready returns the number of workers of a service that take work.
+func (r *Router) Ready(service string) int {
+	n := 0
+	for _, t := range r.targets(service) {
+		if t.ready.Load() {
+			n++
+		}
+	}
+	return n
+}
+
 // Has reports whether any worker of a service is known.
 func (r *Router) Has(service string) bool {
 	return len(r.targets(service)) > 0
--- a/internal/runner/control.go
+++ b/internal/runner/control.go
@@ -33,7 +33,7 @@
 	if err != nil {
 		return nil, errors.Wrapf(err, "address %q", cfg.GetAddress())
 	}
-	c := &Control{Base: b, cfg: cfg, pool: dialer.NewPool(b.Security, b.Timer)}
+	c := &Control{Base: b, cfg: cfg, pool: dialer.NewPool(b.Security, b.Timer, dialer.WithDial(b.Dial))}
 	c.controller, err = controller.New(controller.Parts{
 		Settings: cfg, Timer: b.Timer, Log: b.Log, Assert: b.Assert, Registry: b.Registry, Pool: c.pool,
 		OperatorToken: operatorToken, FleetToken: b.FleetToken,
--- a/internal/runner/fleet.go
+++ b/internal/runner/fleet.go
@@ -35,6 +35,7 @@
 	cfg      *schema.FleetSettings
 	folder   string
 	baseline Baseline
+	dial     func(process string) dialer.DialFunc
 	// OperatorToken lets operators in.
 	OperatorToken string
 	// Keys holds one key for each client account of the settings.
@@ -79,6 +80,11 @@
 	return func(f *Fleet) { f.baseline = b }
 }
 
+// WithDialer gives each process a function of its own that opens connections.
+func WithDialer(dial func(process string) dialer.DialFunc) FleetOption {
+	return func(f *Fleet) { f.dial = dial }
+}
+
 // WithAsserter replaces the asserter of all processes.
 func WithAsserter(a *asserter.Asserter) FleetOption {
 	return func(f *Fleet) { f.Assert = a }
@@ -157,11 +163,24 @@
 	return nil
 }
 
+// baseOf returns what the process with a name shares with the others.
+func (f *Fleet) baseOf(name string) Base {
+	b := f.Base
+	if f.dial != nil {
+		b.Dial = f.dial(name)
+	}
+	return b
+}
+
 // StartControl starts a control host, again after it ended.
 func (f *Fleet) StartControl(i int) error {
-	c, err := StartControl(f.Base, f.Controls[i].Settings, f.OperatorToken)
+	cfg := f.Controls[i].Settings
+	c, err := StartControl(f.baseOf(cfg.GetName()), cfg, f.OperatorToken)
+	if err != nil {
+		return err
+	}
 	f.Controls[i].Control = c
-	return err
+	return nil
 }
 
 func (f *Fleet) addWorker(s *schema.FleetService, w *schema.FleetWorker, i int) error {
@@ -196,7 +215,7 @@
 
 // StartNode starts the node of a worker, again after it ended.
 func (f *Fleet) StartNode(w *FleetWorker) error {
-	n, err := StartNode(f.Base, w.Settings, w.Admin.Addr(), f.baseline)
+	n, err := StartNode(f.baseOf(w.Settings.GetName()), w.Settings, w.Admin.Addr(), f.baseline)
 	if err != nil {
 		return err
 	}
--- /dev/null
+++ b/internal/runner/network_test.go
@@ -0,0 +1,126 @@
+package runner
+
+import (
+	"context"
+	"net"
+	"sync"
+	"time"
+
+	"github.com/lavenderhub/lavenderhub/internal/dialer"
+)
+
+// network opens the connections of a fleet's processes and can cut them off in silence: nothing is refused or closed,
+// bytes just do not arrive.
+type network struct {
+	mu     sync.Mutex
+	cut    map[string]bool
+	served map[string]string
+	conns  []*silentConn
+}
+
+func newNetwork() *network {
+	return &network{cut: map[string]bool{}, served: map[string]string{}}
+}
+
+// dial returns the function that opens the connections of one process.
+func (n *network) dial(process string) dialer.DialFunc {
+	return func(ctx context.Context, kind, address string) (net.Conn, error) {
+		if n.isCut(process, address) {
+			<-ctx.Done()
+			return nil, ctx.Err()
+		}
+		conn, err := (&net.Dialer{}).DialContext(ctx, kind, address)
+		if err != nil {
+			return nil, err
+		}
+		c := &silentConn{Conn: conn, network: n, from: process, to: address, closed: make(chan struct{})}
+		n.mu.Lock()
+		defer n.mu.Unlock()
+		n.conns = append(n.conns, c)
+		return c, nil
+	}
+}
+
+// isolate cuts a process off, to and from the address that it serves.
+func (n *network) isolate(process, address string) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.cut[process], n.cut[address] = true, true
+}
+
+// heal ends all cuts. What went silent before stays so.
+func (n *network) heal() {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.cut = map[string]bool{}
+}
+
+// silence makes the open connections of a process go silent for good; new ones work.
+func (n *network) silence(process string) int {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	count := 0
+	for _, c := range n.conns {
+		if c.from == process && !c.silent {
+			c.silent = true
+			count++
+		}
+	}
+	return count
+}
+
+func (n *network) isCut(process, address string) bool {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.cut[process] || n.cut[address]
+}
+
+// silentConn is a connection that can go silent.
+type silentConn struct {
+	net.Conn
+	network *network
+	from    string
+	to      string
+	silent  bool
+	once    sync.Once
+	closed  chan struct{}
+}
+
+func (c *silentConn) isSilent() bool {
+	c.network.mu.Lock()
+	defer c.network.mu.Unlock()
+	if c.network.cut[c.from] || c.network.cut[c.to] {
+		// A connection that lost bytes is of no use later.
+		c.silent = true
+	}
+	return c.silent
+}
+
+// Read waits for ever once the connection is silent.
+func (c *silentConn) Read(p []byte) (int, error) {
+	n, err := c.Conn.Read(p)
+	if c.isSilent() {
+		<-c.closed
+		return 0, net.ErrClosed
+	}
+	return n, err
+}
+
+// Write loses what is written to a silent connection.
+func (c *silentConn) Write(p []byte) (int, error) {
+	if c.isSilent() {
+		return len(p), nil
+	}
+	return c.Conn.Write(p)
+}
+
+// Close closes the connection.
+func (c *silentConn) Close() error {
+	c.once.Do(func() { close(c.closed) })
+	return c.Conn.Close()
+}
+
+// SetReadDeadline does nothing: no part of the program sets one on these connections.
+func (c *silentConn) SetReadDeadline(time.Time) error {
+	return nil
+}
--- a/internal/runner/node.go
+++ b/internal/runner/node.go
@@ -41,6 +41,8 @@
 	Assert   *asserter.Asserter
 	Registry metrics.Registry
 	Security *dialer.Security
+	// Dial opens connections to other processes, when it is set.
+	Dial dialer.DialFunc
 	// FleetToken is shown to other processes of the fleet.
 	FleetToken string
 }
@@ -73,8 +75,8 @@
 // StartNode starts a node. Admin is the address that it names for reports.
 func StartNode(b Base, cfg *schema.NodeSettings, admin netip.AddrPort, baseline Baseline) (*Node, error) {
 	n := &Node{Base: b, cfg: cfg}
-	n.peers = dialer.NewPool(b.Security, b.Timer)
-	n.control = dialer.NewPool(b.Security, b.Timer)
+	n.peers = dialer.NewPool(b.Security, b.Timer, dialer.WithDial(b.Dial))
+	n.control = dialer.NewPool(b.Security, b.Timer, dialer.WithDial(b.Dial))
 	n.recorder = reporter.NewRecorder(b.Timer)
 	n.router = router.New(cfg.GetName(), cfg.GetFailureDomain(), cfg.GetRegion(), baseline.Router...)
 	n.announcer = announcer.New(b.Timer, b.Assert,
