--- a/internal/admitter/gate.go
+++ b/internal/admitter/gate.go
@@ -23,6 +23,9 @@
 	latencyWeight = 0.05
 	// maxMissed is the number of windows without a request that a level is lowered for at once.
 	maxMissed = 32
+	// A queue longer than 1/longQueue of the limit is long, one up to 1/shortQueue is short.
+	longQueue  = 4
+	shortQueue = 8
 	// maxQueued bounds the queue's memory, in requests for each slot.
 	maxQueued = 64
 )
@@ -49,20 +52,20 @@
 	timer  *timer.Service
 	assert *asserter.Asserter
 
-	mu        sync.Mutex
-	draining  bool
-	inflight  int
-	limit     limit
-	level     level
-	queue     queue
-	sequence  uint64
-	mean      time.Duration
-	windowEnd time.Time
-	served    int
-	pressed   bool
-	standing  bool
-	fifo      bool
-	open      bool
+	mu          sync.Mutex
+	draining    bool
+	inflight    int
+	limit       limit
+	level       level
+	queue       queue
+	sequence    uint64
+	mean        time.Duration
+	windowStart time.Time
+	served      int
+	pressed     bool
+	standing    bool
+	fifo        bool
+	open        bool
 }
 
 // Option changes a Gate under construction.
@@ -89,7 +92,7 @@
 // New returns a gate for an upstream with a number of slots.
 func New(slots int, t *timer.Service, assert *asserter.Asserter, opts ...Option) *Gate {
 	now := t.Now()
-	g := &Gate{timer: t, assert: assert, limit: newLimit(slots, now), windowEnd: now.Add(levelWindow)}
+	g := &Gate{timer: t, assert: assert, limit: newLimit(slots, now), windowStart: now}
 	for _, opt := range opts {
 		opt(g)
 	}
@@ -271,21 +274,48 @@
 	if g.queue.Len() == 0 {
 		g.standing = false
 	}
-	if now.Before(g.windowEnd) {
+	elapsed := now.Sub(g.windowStart)
+	if elapsed < levelWindow {
 		return
 	}
-	missed := int(now.Sub(g.windowEnd) / levelWindow)
-	g.level.decide(g.served, g.pressed || g.standing, now)
-	for range min(missed, maxMissed) {
-		g.level.decide(0, false, now)
-	}
 	g.limit.decide(now)
-	g.windowEnd = now.Add(levelWindow)
+	if elapsed < maxLevelWindow && g.served < levelServed && g.queue.Len() > 0 {
+		return
+	}
+	g.level.decide(g.capacity(elapsed), g.pressure(), now)
+	for range min(int(elapsed/levelWindow)-1, maxMissed) {
+		if g.queue.Len() == 0 {
+			g.level.decide(0, relaxed, now)
+		}
+	}
+	g.windowStart = now
 	g.served, g.pressed = 0, false
-	// A queue that stays non-empty through the whole next window counts as overload.
+	// A queue that stays non-empty through the whole next window is a standing one.
 	g.standing = g.queue.Len() > 0
 }
 
+// capacity returns how many requests the upstream can serve in a time: what it did serve, or what the limit and the mean
+// time of a request promise.
+func (g *Gate) capacity(d time.Duration) float64 {
+	if g.mean <= 0 {
+		return float64(g.served)
+	}
+	return max(float64(g.served), float64(g.limit.current())*d.Seconds()/g.mean.Seconds())
+}
+
+// pressure judges the window by the queue: a short one keeps the upstream busy, a long one only makes requests wait.
+func (g *Gate) pressure() pressure {
+	waiting, limit := g.queue.Len(), g.limit.current()
+	switch {
+	case g.pressed || (g.standing && waiting*longQueue > limit):
+		return overloaded
+	case waiting*shortQueue > limit:
+		return saturated
+	default:
+		return relaxed
+	}
+}
+
 // Report is what a gate tells with each answer.
 type Report struct {
 	// Level is the rank below which the gate sheds.
--- a/internal/admitter/level.go
+++ b/internal/admitter/level.go
@@ -6,16 +6,21 @@
 )
 
 const (
-	// levelWindow is how often a gate decides on its admission level.
-	levelWindow = 100 * time.Millisecond
+	// levelWindow is how often a gate decides on its admission level, at most. With fewer answers than levelServed it
+	// waits longer, up to maxLevelWindow, so that the level does not follow chance.
+	levelWindow    = 100 * time.Millisecond
+	maxLevelWindow = 400 * time.Millisecond
+	levelServed    = 16
 	// sampleSize is how many ranks of one window the level is worked out from.
 	sampleSize = 512
-	// headroom is how much more than was served a gate lets in, so that its queue does not run dry.
+	// headroom is how much more than its capacity a gate lets in, so that its queue does not run dry.
 	headroom = 1.05
-	// firstStep is the first step down of a level, as a share of a class.
-	firstStep = 0.05
-	// maxStep is the largest step down, in classes.
-	maxStep = 2.0
+	// firstStep is the first step down of a level, as a share of what it lets in of its class; steps double up to
+	// maxStep.
+	firstStep = 0.1
+	maxStep   = 8.0
+	// leastWidth is the least that a level lets in of a class, in ranks.
+	leastWidth = classSize / 64
 	// classMemory is how long a class counts as in use after its last arrival.
 	classMemory = time.Minute
 	// fenceTime is how long lower classes stay out after a request was shed.
@@ -68,25 +73,37 @@
 	l.lastSeen[r.class()%classCount] = now
 }
 
-// decide ends a window in which a number of requests were served.
-func (l *level) decide(served int, overloaded bool, now time.Time) {
+// pressure is how a gate's queue did in a window.
+type pressure int
+
+const (
+	// relaxed: the queue was empty or nearly so.
+	relaxed pressure = iota
+	// saturated: the queue keeps the upstream busy and no more.
+	saturated
+	// overloaded: requests waited in vain, or the queue stayed long.
+	overloaded
+)
+
+// decide ends a window in which the upstream could serve a number of requests.
+func (l *level) decide(capacity float64, p pressure, now time.Time) {
 	switch {
-	case overloaded:
-		l.raise(served)
-	case l.value > 0:
+	case p == overloaded:
+		l.raise(capacity)
+	case p == relaxed && l.value > 0:
 		l.lower(now)
 	}
 	l.arrived = 0
 }
 
-func (l *level) raise(served int) {
+func (l *level) raise(capacity float64) {
 	l.step = firstStep
 	if l.arrived == 0 {
 		return
 	}
 	ranks := slices.Clone(l.sample[:min(l.arrived, sampleSize)])
 	slices.Sort(ranks)
-	keep := float64(served) * headroom / float64(l.arrived)
+	keep := capacity * headroom / float64(l.arrived)
 	if keep >= 1 {
 		return
 	}
@@ -94,21 +111,22 @@
 	l.value = max(l.value, cut)
 }
 
+// lower lets in more of the level's class, and then of the next lower one in use.
 func (l *level) lower(now time.Time) {
-	down := l.step
-	l.step = min(l.step*2, maxStep)
 	class := l.value.class()
-	within := float64(l.value-floor(class)) / classSize
-	for within < down {
-		down -= within
-		within = 1
-		class = l.classBelow(class, now)
-		if class < 0 {
-			l.value = 0
-			return
-		}
+	width := max(leastWidth, floor(class+1)-l.value)
+	width += Rank(float64(width) * l.step)
+	l.step = min(l.step*2, maxStep)
+	if width < classSize {
+		l.value = floor(class+1) - width
+		return
+	}
+	below := l.classBelow(class, now)
+	if below < 0 {
+		l.value = 0
+		return
 	}
-	l.value = floor(class) + Rank((within-down)*classSize)
+	l.value = floor(below+1) - leastWidth
 }
 
 // classBelow returns the next lower class in use, or -1.
--- a/internal/admitter/limit.go
+++ b/internal/admitter/limit.go
@@ -10,6 +10,10 @@
 	firstShare = 0.25
 	// limitWindow is the shortest time between two decisions on the limit.
 	limitWindow = 200 * time.Millisecond
+	// windowSamples is the least number of requests in a window, and probeSamples in one that a probe is judged by: over
+	// fewer, throughput varies by more than the probe's size.
+	windowSamples = 10
+	probeSamples  = 200
 	// backoff is the factor of a cut after the upstream shed load itself.
 	backoff = 0.8
 	// probeShare is the size of a probe up or down.
@@ -20,6 +24,8 @@
 	inflation = 2.0
 	// floorDrift is how fast the floor of latency follows a lasting rise, for each window.
 	floorDrift = 0.01
+	// maxRest is the most windows between two probes that were of no use; it doubles up to there.
+	maxRest = 64
 	// hintStart is the reported load from which a limit is lowered, and hintCut the most that it is lowered by.
 	hintStart = 0.8
 	hintCut   = 0.2
@@ -41,6 +47,8 @@
 	floor    time.Duration
 	probe    int
 	before   float64
+	rest     int
+	resting  int
 	measured bool
 }
 
@@ -77,7 +85,12 @@
 // decide ends a window once it is long enough. Busy tells that the limit was reached in it.
 func (l *limit) decide(now time.Time) {
 	elapsed := now.Sub(l.decided)
-	if elapsed < limitWindow || l.done+l.shed < 10 {
+	if elapsed < limitWindow || l.done+l.shed < windowSamples {
+		return
+	}
+	full := l.value >= float64(l.slots)
+	judging := l.probe < 0 || (full && l.measured && l.rest == 0)
+	if judging && l.done < probeSamples && l.shed*10 <= l.done {
 		return
 	}
 	throughput := float64(l.done) / elapsed.Seconds()
@@ -106,18 +119,31 @@
 		l.probe, l.measured = 0, true
 	case l.probe < 0:
 		// A smaller limit that kept its throughput stays; otherwise it goes back.
+		l.rest = 0
 		if throughput < l.before*(1-probeShare*gainShare) {
 			l.value /= 1 - probeShare
+			l.resting = min(maxRest, max(1, 2*l.resting))
+			l.rest = l.resting
+		} else {
+			l.resting = 0
 		}
 		l.probe = 0
+	case l.rest > 0:
+		l.rest--
+		l.grow(full)
 	case l.busy && inflated && full && l.measured:
 		l.before, l.probe = throughput, -1
 		l.value = max(1, l.value*(1-probeShare))
 	default:
-		if l.busy {
-			l.value *= 1 + probeShare
-		}
-		l.measured = l.measured || full
+		l.grow(full)
 	}
 	l.value = max(1, min(l.value, float64(l.slots)))
 }
+
+// grow makes room for more while there is use for it.
+func (l *limit) grow(full bool) {
+	if l.busy {
+		l.value *= 1 + probeShare
+	}
+	l.measured = l.measured || full
+}
--- a/internal/cmd/admin.go
+++ b/internal/cmd/admin.go
@@ -77,7 +77,7 @@
 	if o.authority != "" {
 		tls = &schema.TlsSettings{AuthorityFile: o.authority}
 	}
-	security, err := dialer.NewSecurity(tls, t)
+	security, err := dialer.NewSecurity(tls, t, zap.NewNop())
 	if err != nil {
 		return nil, err
 	}
--- a/internal/cmd/cmd_experiment.go
+++ b/internal/cmd/cmd_experiment.go
@@ -17,8 +17,10 @@
 	example: "  lavenderhub experiment overload --seed 1",
 	args:    cobra.ExactArgs(1),
 	setup: func(c *cobra.Command) func([]string) error {
-		seed := c.Flags().Uint64("seed", 1, "seed of the load")
-		quick := c.Flags().Bool("quick", false, "take a tenth of the time; the figures are no measurement")
+		var o experimenter.Options
+		c.Flags().Uint64Var(&o.Seed, "seed", 1, "seed of the load")
+		c.Flags().BoolVar(&o.Short, "quick", false, "take a tenth of the time; the figures are no measurement")
+		c.Flags().BoolVar(&o.First, "first", false, "leave out the baselines")
 		output := c.Flags().String("output", "text", "form of the figures: text (a table in Markdown) or json")
 		level := c.Flags().String("log-level", "error", "least level of the events to log: debug, info, warn or error")
 		return func(args []string) error {
@@ -28,7 +30,7 @@
 			}
 			ctx, stop := untilInterrupted()
 			defer stop()
-			rows, err := experimenter.Run(ctx, args[0], *seed, *quick, logger.New(logTarget(), least))
+			rows, err := experimenter.Run(ctx, args[0], o, logger.New(logTarget(), least))
 			if err != nil {
 				return err
 			}
--- a/internal/dialer/security.go
+++ b/internal/dialer/security.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"github.com/pkg/errors"
+	"go.uber.org/zap"
 
 	"github.com/lavenderhub/lavenderhub/internal/timer"
 	"github.com/lavenderhub/lavenderhub/schema"
@@ -39,6 +40,7 @@
 type Security struct {
 	cfg   *schema.TlsSettings
 	timer *timer.Service
+	log   *zap.Logger
 
 	mu      sync.Mutex
 	checked time.Time
@@ -53,8 +55,8 @@
 }
 
 // NewSecurity reads the certificate files. A nil cfg means plain connections.
-func NewSecurity(cfg *schema.TlsSettings, t *timer.Service) (*Security, error) {
-	s := &Security{cfg: cfg, timer: t}
+func NewSecurity(cfg *schema.TlsSettings, t *timer.Service, log *zap.Logger) (*Security, error) {
+	s := &Security{cfg: cfg, timer: t, log: log}
 	if cfg == nil {
 		return s, nil
 	}
--- a/internal/dialer/server.go
+++ b/internal/dialer/server.go
@@ -4,6 +4,8 @@
 	"context"
 	"crypto/tls"
 	"fmt"
+	"io"
+	"log"
 	"net"
 	"net/http"
 	"net/netip"
@@ -11,6 +13,7 @@
 	"runtime/debug"
 
 	"github.com/pkg/errors"
+	"go.uber.org/zap"
 	"gopkg.in/tomb.v2"
 )
 
@@ -64,6 +67,7 @@
 		ReadHeaderTimeout: headerTimeout,
 		IdleTimeout:       idleTimeout,
 		MaxHeaderBytes:    MaxHeaderBytes,
+		ErrorLog:          s.errorLog(),
 	}
 	serving := ln
 	if s.cfg != nil && audience != Callers {
@@ -96,6 +100,15 @@
 	})
 }
 
+// errorLog passes what net/http has to say on as events.
+func (s *Security) errorLog() *log.Logger {
+	std, err := zap.NewStdLogAt(s.log.Named("http"), zap.WarnLevel)
+	if err != nil {
+		return log.New(io.Discard, "", 0)
+	}
+	return std
+}
+
 // Addr returns the address that the server listens on.
 func (s *Server) Addr() netip.AddrPort {
 	addr, _ := netip.ParseAddrPort(s.listener.Addr().String())
--- a/internal/runner/network_test.go
+++ b/internal/disturber/network.go
@@ -1,4 +1,5 @@
-package runner
+// Package disturber cuts off the connections of a fleet in silence, for tests and experiments.
+package disturber
 
 import (
 	"context"
@@ -9,21 +10,21 @@
 	"github.com/lavenderhub/lavenderhub/internal/dialer"
 )
 
-// network opens the connections of a fleet's processes and can cut them off in silence: nothing is refused or closed,
+// Network opens the connections of a fleet's processes and can cut them off in silence: nothing is refused or closed,
 // bytes just do not arrive.
-type network struct {
-	mu     sync.Mutex
-	cut    map[string]bool
-	served map[string]string
-	conns  []*silentConn
+type Network struct {
+	mu    sync.Mutex
+	cut   map[string]bool
+	conns []*silentConn
 }
 
-func newNetwork() *network {
-	return &network{cut: map[string]bool{}, served: map[string]string{}}
+// New returns a Network without cuts.
+func New() *Network {
+	return &Network{cut: map[string]bool{}}
 }
 
-// dial returns the function that opens the connections of one process.
-func (n *network) dial(process string) dialer.DialFunc {
+// Dial returns the function that opens the connections of one process.
+func (n *Network) Dial(process string) dialer.DialFunc {
 	return func(ctx context.Context, kind, address string) (net.Conn, error) {
 		if n.isCut(process, address) {
 			<-ctx.Done()
@@ -41,22 +42,22 @@
 	}
 }
 
-// isolate cuts a process off, to and from the address that it serves.
-func (n *network) isolate(process, address string) {
+// Isolate cuts a process off, to and from the address that it serves.
+func (n *Network) Isolate(process, address string) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	n.cut[process], n.cut[address] = true, true
 }
 
-// heal ends all cuts. What went silent before stays so.
-func (n *network) heal() {
+// Heal ends all cuts. What went silent before stays so.
+func (n *Network) Heal() {
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	n.cut = map[string]bool{}
 }
 
-// silence makes the open connections of a process go silent for good; new ones work.
-func (n *network) silence(process string) int {
+// Silence makes the open connections of a process go silent for good; new ones work. It returns their number.
+func (n *Network) Silence(process string) int {
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	count := 0
@@ -69,7 +70,7 @@
 	return count
 }
 
-func (n *network) isCut(process, address string) bool {
+func (n *Network) isCut(process, address string) bool {
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	return n.cut[process] || n.cut[address]
@@ -78,7 +79,7 @@
 // silentConn is a connection that can go silent.
 type silentConn struct {
 	net.Conn
-	network *network
+	network *Network
 	from    string
 	to      string
 	silent  bool
--- a/internal/experimenter/experimenter.go
+++ b/internal/experimenter/experimenter.go
@@ -35,10 +35,17 @@
 	Timer  *timer.Service
 	Log    *zap.Logger
 	Folder string
-	Seed   uint64
+	Options
+	rows []Row
+}
+
+// Options change how an experiment is run.
+type Options struct {
+	Seed uint64
 	// Short makes an experiment quick, to try it out; its figures are no measurement.
 	Short bool
-	rows  []Row
+	// First leaves out the baselines.
+	First bool
 }
 
 // note adds a figure.
@@ -71,11 +78,12 @@
 	{Name: "control", Short: "time until changes are in force, time without a leader, restart", run: control},
 	{Name: "claims", Short: "idempotency claims a second", run: claims},
 	{Name: "rate", Short: "refusals within rate, beside an equal split", run: rate},
+	{Name: "day", Short: "the brief's failures, each twice and together, under load", run: runDay},
 	{Name: "slopes", Short: "control traffic and processor time by the number of nodes", run: slopes},
 }
 
 // Run runs one experiment and returns its figures.
-func Run(ctx context.Context, name string, seed uint64, short bool, log *zap.Logger) ([]Row, error) {
+func Run(ctx context.Context, name string, o Options, log *zap.Logger) ([]Row, error) {
 	for _, x := range All {
 		if x.Name != name {
 			continue
@@ -85,7 +93,7 @@
 			return nil, errors.Wrap(err, "make a folder")
 		}
 		defer func() { _ = os.RemoveAll(folder) }()
-		e := &Env{Timer: timer.New(), Log: log, Folder: folder, Seed: seed, Short: short}
+		e := &Env{Timer: timer.New(), Log: log, Folder: folder, Options: o}
 		err = x.run(ctx, e)
 		return e.rows, err
 	}
--- a/internal/experimenter/overload.go
+++ b/internal/experimenter/overload.go
@@ -67,6 +67,9 @@
 		{"static limits, FIFO queue", staticLimits()},
 		{"no control", uncontrolled()},
 	}
+	if e.First {
+		cases = cases[:1]
+	}
 	for i, c := range cases {
 		if err := overloadCase(ctx, e, c.name, string(rune('a'+i)), c.baseline); err != nil {
 			return err
@@ -91,11 +94,21 @@
 	if err != nil {
 		return err
 	}
-	slow := e.switchAt(ctx, before, func() { setSlowdown(fleet, "deep", slowdown) })
-	fast := e.switchAt(ctx, before+trouble, func() { setSlowdown(fleet, "deep", 100) })
+	settle := e.span(2 * time.Second)
+	var atStart, atEnd int64
+	waits := []func(){
+		e.switchAt(ctx, before, func() { setSlowdown(fleet, "deep", slowdown) }),
+		e.switchAt(ctx, before+settle, func() { atStart = served(fleet, "deep") }),
+		e.switchAt(ctx, before+trouble, func() {
+			atEnd = served(fleet, "deep")
+			setSlowdown(fleet, "deep", 100)
+		}),
+	}
 	result := l.Run(ctx)
-	slow()
-	fast()
+	for _, wait := range waits {
+		wait()
+	}
+	e.note("answers of the deepest service during", name, "", "%.0f/s", float64(atEnd-atStart)/(trouble-settle).Seconds())
 	reportOverload(e, name, result, before, trouble)
 	return nil
 }
@@ -119,6 +132,16 @@
 	}
 }
 
+func served(f *runner.Fleet, service string) int64 {
+	total := int64(0)
+	for _, w := range f.Workers {
+		if w.Service == service {
+			total += w.Responder.Served()
+		}
+	}
+	return total
+}
+
 // capacityOf returns the requests a second that the workers of a service can serve at a slowdown in percent.
 func capacityOf(cfg *schema.FleetSettings, service string, percent float64) float64 {
 	total := 0.0
@@ -174,12 +197,18 @@
 	}
 	for _, c := range classes {
 		sent, good, shed := int64(0), int64(0), int64(0)
+		reasons := map[string]int64{}
 		for i := range accountShares {
 			f := r.Accounts[c.route+" "+accountName(i)]
 			sent, good, shed = sent+f.Sent, good+f.Good, shed+f.Reasons["overloaded"]
+			for reason, n := range f.Reasons {
+				reasons[reason] += n
+			}
 		}
-		e.note("whole run, route "+c.route, name, "", "%.1f %% good, %d of %d shed", 100*float64(good)/float64(sent), shed, sent)
+		e.note("whole run, route "+c.route, name, "", "%.1f %% good, %d of %d shed, %v",
+			100*float64(good)/float64(sent), shed, sent, reasons)
 	}
+	e.note("not good, by reason", name, "", "%v", r.Total.Reasons)
 	worst := 100.0
 	for i := range accountShares {
 		f := r.Accounts["usual "+accountName(i)]
--- a/internal/forwarder/answer.go
+++ b/internal/forwarder/answer.go
@@ -20,16 +20,27 @@
 	hasSpent bool
 	// final tells that the failure was retried below, or that it comes from below: the hop above must not retry.
 	final bool
+	// shed tells that the failure is one of capacity below.
+	shed bool
 }
 
+// Values of the header that keeps the hop above from retrying.
+const (
+	finalFailed = "failed"
+	finalShed   = "shed"
+)
+
 func (p report) write(h http.Header) {
 	h.Set(headerLevel, strconv.FormatUint(uint64(p.level), 10))
 	h.Set(headerLoad, strconv.FormatFloat(p.load, 'f', 3, 64))
 	if p.hasSpent {
 		h.Set(headerSpent, strconv.FormatUint(uint64(p.spent), 10))
 	}
-	if p.final {
-		h.Set(headerFinal, "1")
+	switch {
+	case p.shed:
+		h.Set(headerFinal, finalShed)
+	case p.final:
+		h.Set(headerFinal, finalFailed)
 	}
 }
 
@@ -45,6 +56,7 @@
 		p.spent, p.hasSpent = uint32(n), true
 	}
 	p.final = h.Get(headerFinal) != ""
+	p.shed = h.Get(headerFinal) == finalShed
 	return p
 }
 
--- a/internal/forwarder/caller.go
+++ b/internal/forwarder/caller.go
@@ -222,6 +222,10 @@
 	if ref != nil && (!ref.IsRun() || ref.Reason == refuser.CallerLeft) {
 		return
 	}
+	if a != nil && a.report.shed {
+		// Levels, not failures, tell of a lack of capacity.
+		return
+	}
 	now := f.Timer.Now()
 	failed := isFailure(a, ref)
 	f.throttles.Of(c.route.Service).Count(!failed, now)
@@ -237,7 +241,7 @@
 	if f.controls.NoRetryBounds {
 		return nil
 	}
-	if !f.throttles.Of(c.route.Service).Admit(now) {
+	if !f.throttles.Of(c.route.Service).Admit(uint32(c.rank), now) {
 		return refuser.NewRetryable(refuser.NotRun, refuser.UpstreamFailing, "the service fails most requests", resendPause)
 	}
 	if !f.resends.IsResend(c.digest(), now) {
@@ -284,6 +288,8 @@
 
 func (f *Forwarder) classOf(c *call, a *answer, ref *refuser.Refusal, took time.Duration) reporter.Class {
 	switch {
+	case ref == nil && a.report.shed:
+		return reporter.Shed
 	case ref == nil && a.status >= 500:
 		return reporter.Failed
 	case ref == nil && took > c.route.ObjectiveLatency:
--- a/internal/forwarder/live.go
+++ b/internal/forwarder/live.go
@@ -19,6 +19,7 @@
 	nested time.Duration
 	level  uint32
 	failed bool
+	shed   bool
 }
 
 // begin notes the start of a nested call.
@@ -31,8 +32,8 @@
 	r.active++
 }
 
-// end notes the end of a nested call.
-func (r *running) end(now time.Time, failed bool, level uint32) {
+// end notes the end of a nested call: whether it ran and failed, or was shed, and the level that it met.
+func (r *running) end(now time.Time, failed, shed bool, level uint32) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.active--
@@ -40,6 +41,7 @@
 		r.nested += now.Sub(r.since)
 	}
 	r.failed = r.failed || failed
+	r.shed = r.shed || shed
 	r.level = max(r.level, level)
 }
 
@@ -48,12 +50,13 @@
 	time   time.Duration
 	level  uint32
 	failed bool
+	shed   bool
 }
 
 func (r *running) state(now time.Time) nestedState {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	s := nestedState{time: r.nested, level: r.level, failed: r.failed}
+	s := nestedState{time: r.nested, level: r.level, failed: r.failed, shed: r.shed}
 	if r.active > 0 {
 		s.time += now.Sub(r.since)
 	}
--- a/internal/forwarder/nested.go
+++ b/internal/forwarder/nested.go
@@ -27,7 +27,8 @@
 	parent.begin(f.Timer.Now())
 	a, ref := f.dispatchOnce(ctx, r.Header.Get(headerClaim), c)
 	failed := isFailure(a, ref)
-	parent.end(f.Timer.Now(), failed, f.levels.Of(c.route.Service, c.route.Name, f.Timer.Now()))
+	shed := (ref != nil && ref.Outcome == refuser.NotRun) || (a != nil && a.report.shed)
+	parent.end(f.Timer.Now(), failed && !shed, shed, f.levels.Of(c.route.Service, c.route.Name, f.Timer.Now()))
 	if ref != nil {
 		f.refuse(w, ref)
 		return
--- a/internal/forwarder/upstream.go
+++ b/internal/forwarder/upstream.go
@@ -53,13 +53,14 @@
 		if ref.Reason == refuser.UpstreamBroke {
 			ref.Outcome = refuser.Failed
 		}
-		ref.Final = state.failed
+		ref.Final = state.failed || state.shed
 		return nil, ref, f.reportOf(up, c, state)
 	}
 	if a.isWhole() {
 		state := finish(a.status == http.StatusServiceUnavailable)
 		a.report = f.reportOf(up, c, state)
-		a.report.final = a.status >= 500 && state.failed
+		a.report.shed = a.status >= 500 && state.shed
+		a.report.final = a.report.shed || (a.status >= 500 && state.failed)
 		return a, nil, a.report
 	}
 	a.report = f.reportOf(up, c, live.state(f.Timer.Now()))
--- a/internal/responder/responder.go
+++ b/internal/responder/responder.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"github.com/pkg/errors"
+	"go.uber.org/zap"
 	"gopkg.in/tomb.v2"
 
 	"github.com/lavenderhub/lavenderhub/internal/announcer"
@@ -79,7 +80,7 @@
 	}
 	r.state.Store("ready")
 	r.factor.Store(100)
-	security, err := dialer.NewSecurity(nil, t)
+	security, err := dialer.NewSecurity(nil, t, zap.NewNop())
 	if err != nil {
 		return nil, err
 	}
--- a/internal/retrier/throttle.go
+++ b/internal/retrier/throttle.go
@@ -2,7 +2,6 @@
 
 import (
 	"math"
-	"math/rand/v2"
 	"sync"
 	"time"
 )
@@ -16,6 +15,8 @@
 	throttleStart = 10.0
 	// throttleLeast is the part of the requests that always goes on, to find out whether the service works again.
 	throttleLeast = 0.1
+	// throttleRanks is the number of recent requests whose ranks are compared.
+	throttleRanks = 64
 )
 
 // Throttle holds back requests to a service that fails most of them. Callers send such requests again, at whatever
@@ -25,12 +26,13 @@
 	requests  float64
 	successes float64
 	at        time.Time
-	random    func() float64
+	ranks     [throttleRanks]uint32
+	seen      int
 }
 
 // NewThrottle returns a Throttle that lets all requests on.
 func NewThrottle() *Throttle {
-	return &Throttle{random: rand.Float64}
+	return &Throttle{}
 }
 
 func (t *Throttle) decay(now time.Time) {
@@ -42,16 +44,28 @@
 	}
 }
 
-// Admit reports whether a request may go on.
-func (t *Throttle) Admit(now time.Time) bool {
+// Admit reports whether a request may go on. The lowest ranks are held back first.
+func (t *Throttle) Admit(rank uint32, now time.Time) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.decay(now)
+	t.ranks[t.seen%throttleRanks] = rank
+	t.seen++
 	if t.requests < throttleStart {
 		return true
 	}
 	excess := (t.requests - throttleFactor*t.successes) / (t.requests + 1)
-	return t.random() >= min(excess, 1-throttleLeast)
+	if excess <= 0 {
+		return true
+	}
+	lower := 0
+	known := t.ranks[:min(t.seen, throttleRanks)]
+	for _, r := range known {
+		if r < rank {
+			lower++
+		}
+	}
+	return float64(lower) >= min(excess, 1-throttleLeast)*float64(len(known))
 }
 
 // Count takes in a request that ran.
--- a/internal/router/levels.go
+++ b/internal/router/levels.go
@@ -50,7 +50,7 @@
 	learned.byWorker[worker] = workerLevel{value: value, at: now}
 }
 
-// Of returns the rank below which a call would be shed by every worker heard of lately. It falls while no answers
+// Of returns the rank below which a call would most likely be shed: the mean over the workers heard of lately. It falls while no answers
 // come, so that a few calls find out whether the overload has passed.
 func (l *Levels) Of(service, route string, now time.Time) uint32 {
 	entry, ok := l.byRoute.Load(routeKey{service, route})
@@ -60,19 +60,20 @@
 	learned := entry.(*learnedLevel)
 	learned.mu.Lock()
 	defer learned.mu.Unlock()
-	lowest := ^uint32(0)
+	sum, n := uint64(0), uint64(0)
 	for worker, w := range learned.byWorker {
 		steps := int(now.Sub(w.at) / levelLifetime)
 		if steps > maxLevelSteps {
 			delete(learned.byWorker, worker)
 			continue
 		}
-		lowest = min(lowest, aged(w.value, steps))
+		sum += uint64(aged(w.value, steps))
+		n++
 	}
-	if len(learned.byWorker) == 0 {
+	if n == 0 {
 		return 0
 	}
-	return lowest
+	return uint32(sum / n)
 }
 
 func aged(value uint32, steps int) uint32 {
--- a/internal/runner/failure_test.go
+++ b/internal/runner/failure_test.go
@@ -12,6 +12,7 @@
 
 	"google.golang.org/protobuf/proto"
 
+	"github.com/lavenderhub/lavenderhub/internal/disturber"
 	"github.com/lavenderhub/lavenderhub/schema"
 )
 
@@ -77,15 +78,15 @@
 // expects that no node goes on honouring it, that calls go on under the other key, and that the cut leader, back again,
 // follows.
 func TestSilentLeader(t *testing.T) {
-	net := newNetwork()
-	f := startFleet(t, twoServices(), WithDialer(net.dial))
+	net := disturber.New()
+	f := startFleet(t, twoServices(), WithDialer(net.Dial))
 	old := leaderOf(t, f)
 	for _, w := range f.Workers {
 		if r := call(t, f, w, f.Keys[1].Key, http.MethodGet, "/front/a"); r.status != http.StatusOK {
 			t.Fatalf("before: %d %s", r.status, r.body)
 		}
 	}
-	net.isolate(old.Settings.GetName(), old.Settings.GetAddress())
+	net.Isolate(old.Settings.GetName(), old.Settings.GetAddress())
 	if got := change(t, f, withdraw(f.Keys[1].KeyID)); !got.GetKey().GetWithdrawn() {
 		t.Fatalf("withdrawal: %v", got)
 	}
@@ -100,7 +101,7 @@
 	if s, err := old.Status(t.Context()); err != nil || s.GetLeader() {
 		t.Fatalf("the cut leader still leads: %v %v", s, err)
 	}
-	net.heal()
+	net.Heal()
 	eventually(t, "the cut leader follows", func() bool {
 		s, err := old.Status(t.Context())
 		return err == nil && s.GetLeaderAddress() != "" && s.GetLeaderAddress() != old.Settings.GetAddress() || f.Leader(t.Context()) == old
@@ -155,7 +156,7 @@
 		var group sync.WaitGroup
 		for i := range results {
 			group.Go(func() {
-				op := NewOperator(f.Base, f.addresses, f.OperatorToken)
+				op := f.NewOperator()
 				cmd := setBranch("account/school", float64(1000+10*round+i))
 				cmd.IfVersion = proto.Uint64(version)
 				results[i], _ = op.Change(t.Context(), cmd)
@@ -345,8 +346,8 @@
 
 // TestSilentConnections lets the open connections between nodes go silent for good while new ones work.
 func TestSilentConnections(t *testing.T) {
-	net := newNetwork()
-	f := startFleet(t, twoServices(), WithDialer(net.dial))
+	net := disturber.New()
+	f := startFleet(t, twoServices(), WithDialer(net.Dial))
 	entry := f.Workers[2]
 	for i := range 20 {
 		if r := call(t, f, entry, f.Keys[0].Key, http.MethodGet, fmt.Sprintf("/front/a?id=w%d", i)); r.status != http.StatusOK {
@@ -354,7 +355,7 @@
 		}
 	}
 	for round := range 3 {
-		if net.silence(entry.Settings.GetName()) == 0 {
+		if net.Silence(entry.Settings.GetName()) == 0 {
 			t.Fatal("no connection was silenced")
 		}
 		var group sync.WaitGroup
--- a/internal/runner/fleet.go
+++ b/internal/runner/fleet.go
@@ -93,7 +93,7 @@
 // StartFleet starts a fleet whose data lies below a folder, and waits until every node serves.
 func StartFleet(ctx context.Context, cfg *schema.FleetSettings, folder string, log *zap.Logger, opts ...FleetOption) (*Fleet, error) {
 	t := timer.New()
-	security, err := dialer.NewSecurity(nil, t)
+	security, err := dialer.NewSecurity(nil, t, log)
 	if err != nil {
 		return nil, err
 	}
@@ -129,7 +129,7 @@
 			}
 		}
 	}
-	f.operator = NewOperator(f.Base, f.addresses, f.OperatorToken)
+	f.operator = f.NewOperator()
 	if err := f.configure(ctx); err != nil {
 		return err
 	}
@@ -236,6 +236,11 @@
 	return f.operator
 }
 
+// NewOperator returns a further client of the fleet.
+func (f *Fleet) NewOperator() *Operator {
+	return NewOperator(f.Base, f.addresses, f.OperatorToken)
+}
+
 // configure makes the branches, client accounts and keys of the settings.
 func (f *Fleet) configure(ctx context.Context) error {
 	for _, b := range f.cfg.GetBranches() {
@@ -302,6 +307,11 @@
 	})
 }
 
+// HasUpstream reports whether an upstream has announced itself to the node.
+func (n *Node) HasUpstream() bool {
+	return len(n.announcer.Workers()) > 0
+}
+
 // Locates reports whether the node knows workers of a service.
 func (n *Node) Locates(ctx context.Context, service string) bool {
 	return n.router.Has(service) || n.syncer.Locate(ctx, service)
--- a/internal/runner/process.go
+++ b/internal/runner/process.go
@@ -26,7 +26,7 @@
 // Start starts the roles that the settings name.
 func Start(cfg *schema.Settings, log *zap.Logger) (*Process, error) {
 	t := timer.New()
-	security, err := dialer.NewSecurity(cfg.GetTls(), t)
+	security, err := dialer.NewSecurity(cfg.GetTls(), t, log)
 	if err != nil {
 		return nil, err
 	}
