--- a/internal/admitter/gate.go
+++ b/internal/admitter/gate.go
@@ -23,9 +23,10 @@
 	latencyWeight = 0.05
 	// maxMissed is the number of windows without a request that a level is lowered for at once.
 	maxMissed = 32
-	// A queue longer than 1/longQueue of the limit is long, one up to 1/shortQueue is short.
-	longQueue  = 4
-	shortQueue = 8
+	// A queue longer than longQueue times the limit is long, one up to shortQueue times is short. In between it covers the
+	// time that a new level takes to reach the entries.
+	longQueue  = 0.8
+	shortQueue = 0.3
 	// maxQueued bounds the queue's memory, in requests for each slot.
 	maxQueued = 64
 )
@@ -305,11 +306,11 @@
 
 // pressure judges the window by the queue: a short one keeps the upstream busy, a long one only makes requests wait.
 func (g *Gate) pressure() pressure {
-	waiting, limit := g.queue.Len(), g.limit.current()
+	waiting := float64(g.queue.Len()) / float64(g.limit.current())
 	switch {
-	case g.pressed || (g.standing && waiting*longQueue > limit):
+	case g.pressed || (g.standing && waiting > longQueue):
 		return overloaded
-	case waiting*shortQueue > limit:
+	case waiting > shortQueue:
 		return saturated
 	default:
 		return relaxed
@@ -359,7 +360,7 @@
 	}
 }
 
-// SetHint takes in the load that the upstream reports of itself, from 0 to 1. It can lower the limit a little and
+// SetHint takes in the load that the upstream reports of itself, with 1 for full use. It can lower the limit a little and
 // never raise it.
 func (g *Gate) SetHint(load float64) {
 	g.mu.Lock()
--- a/internal/admitter/limit.go
+++ b/internal/admitter/limit.go
@@ -11,24 +11,27 @@
 	// limitWindow is the shortest time between two decisions on the limit.
 	limitWindow = 200 * time.Millisecond
 	// windowSamples is the least number of requests in a window, and probeSamples in one that a probe is judged by: over
-	// fewer, throughput varies by more than the probe's size.
+	// fewer, chance outweighs the probe.
 	windowSamples = 10
 	probeSamples  = 200
 	// backoff is the factor of a cut after the upstream shed load itself.
 	backoff = 0.8
 	// probeShare is the size of a probe up or down.
 	probeShare = 0.08
-	// gainShare is the part of a probe's size by which throughput must follow for the probe to be kept.
-	gainShare = 0.4
+	// gainShare is the part of a probe's size by which latency must fall for the probe to be kept. Latency is judged, since
+	// throughput varies by more than that from one window to the next.
+	gainShare = 0.6
 	// inflation is the factor of latency over its floor beyond which a smaller limit is tried.
 	inflation = 2.0
 	// floorDrift is how fast the floor of latency follows a lasting rise, for each window.
 	floorDrift = 0.01
 	// maxRest is the most windows between two probes that were of no use; it doubles up to there.
 	maxRest = 64
-	// hintStart is the reported load from which a limit is lowered, and hintCut the most that it is lowered by.
-	hintStart = 0.8
-	hintCut   = 0.2
+	// hintStart is the reported load from which a limit is lowered: full use alone is no reason. At hintEnd it is lowered
+	// by hintCut.
+	hintStart = 1.0
+	hintEnd   = 1.5
+	hintCut   = 0.1
 )
 
 // limit adapts how many requests an upstream gets at once. Slots bound it from above. A rise of latency alone does
@@ -46,7 +49,7 @@
 	busy     bool
 	floor    time.Duration
 	probe    int
-	before   float64
+	before   time.Duration
 	rest     int
 	resting  int
 	measured bool
@@ -58,7 +61,7 @@
 
 // current returns the limit in requests, at least one and at most the slots.
 func (l *limit) current() int {
-	v := l.value * (1 - hintCut*min(1, max(0, l.hint-hintStart)/(1-hintStart)))
+	v := l.value * (1 - hintCut*min(1, max(0, l.hint-hintStart)/(hintEnd-hintStart)))
 	return max(1, min(l.slots, int(math.Round(v))))
 }
 
@@ -93,11 +96,12 @@
 	if judging && l.done < probeSamples && l.shed*10 <= l.done {
 		return
 	}
-	throughput := float64(l.done) / elapsed.Seconds()
+	mean := time.Duration(0)
 	if l.done > 0 {
-		l.follow(l.latency / time.Duration(l.done))
+		mean = l.latency / time.Duration(l.done)
+		l.follow(mean)
 	}
-	l.adjust(throughput)
+	l.adjust(mean)
 	l.decided, l.done, l.shed, l.latency, l.busy = now, 0, 0, 0, false
 }
 
@@ -110,17 +114,17 @@
 	l.floor += time.Duration(float64(mean-l.floor) * floorDrift)
 }
 
-func (l *limit) adjust(throughput float64) {
-	inflated := l.done > 0 && float64(l.latency/time.Duration(l.done)) > inflation*float64(l.floor)
+func (l *limit) adjust(mean time.Duration) {
+	inflated := float64(mean) > inflation*float64(l.floor)
 	full := l.value >= float64(l.slots)
 	switch {
 	case l.shed*10 > l.done:
 		l.value = max(1, l.value*backoff)
 		l.probe, l.measured = 0, true
 	case l.probe < 0:
-		// A smaller limit that kept its throughput stays; otherwise it goes back.
+		// With fewer requests at once and the same throughput, latency falls by as much; otherwise the limit goes back.
 		l.rest = 0
-		if throughput < l.before*(1-probeShare*gainShare) {
+		if float64(mean) > float64(l.before)*(1-probeShare*gainShare) {
 			l.value /= 1 - probeShare
 			l.resting = min(maxRest, max(1, 2*l.resting))
 			l.rest = l.resting
@@ -132,7 +136,7 @@
 		l.rest--
 		l.grow(full)
 	case l.busy && inflated && full && l.measured:
-		l.before, l.probe = throughput, -1
+		l.before, l.probe = mean, -1
 		l.value = max(1, l.value*(1-probeShare))
 	default:
 		l.grow(full)
--- a/internal/admitter/random_test.go
+++ b/internal/admitter/random_test.go
@@ -67,7 +67,7 @@
 				case 3:
 					g.SetSlots(1 + random.IntN(30))
 				case 4:
-					g.SetHint(random.Float64())
+					g.SetHint(2 * random.Float64())
 				}
 			}
 			group.Wait()
