--- a/internal/admitter/gate.go
+++ b/internal/admitter/gate.go
@@ -104,6 +104,8 @@
 type Ask struct {
 	Rank     Rank
 	Deadline time.Time
+	// Rerouted tells that another gate refused the request: it is no demand of this one's own.
+	Rerouted bool
 }
 
 // Ticket is the right to run one request.
@@ -137,7 +139,9 @@
 	if g.draining {
 		return Draining
 	}
-	g.level.arrive(ask.Rank, now)
+	if !ask.Rerouted {
+		g.level.arrive(ask.Rank, now)
+	}
 	switch {
 	case g.open:
 		return Admitted
--- a/internal/admitter/level.go
+++ b/internal/admitter/level.go
@@ -19,6 +19,8 @@
 	// maxStep.
 	firstStep = 0.1
 	maxStep   = 8.0
+	// easyWindows is the number of steps down before they double: the news of each takes that long to reach the entries.
+	easyWindows = 5
 	// leastWidth is the least that a level lets in of a class, in ranks.
 	leastWidth = classSize / 64
 	// classMemory is how long a class counts as in use after its last arrival.
@@ -33,6 +35,7 @@
 type level struct {
 	value    Rank
 	step     float64
+	eased    int
 	arrived  int
 	sample   [sampleSize]Rank
 	lastSeen [classCount]time.Time
@@ -97,7 +100,7 @@
 }
 
 func (l *level) raise(capacity float64) {
-	l.step = firstStep
+	l.step, l.eased = firstStep, 0
 	if l.arrived == 0 {
 		return
 	}
@@ -116,7 +119,10 @@
 	class := l.value.class()
 	width := max(leastWidth, floor(class+1)-l.value)
 	width += Rank(float64(width) * l.step)
-	l.step = min(l.step*2, maxStep)
+	l.eased++
+	if l.eased > easyWindows {
+		l.step = min(l.step*2, maxStep)
+	}
 	if width < classSize {
 		l.value = floor(class+1) - width
 		return
--- a/internal/forwarder/attempt.go
+++ b/internal/forwarder/attempt.go
@@ -171,6 +171,7 @@
 		Idempotent:      c.idempotent,
 		Service:         c.route.Service,
 		Route:           c.route.Name,
+		Rerouted:        c.rerouted,
 	}, id, secret)
 }
 
--- a/internal/forwarder/call.go
+++ b/internal/forwarder/call.go
@@ -26,6 +26,8 @@
 	budget     *retrier.Budget
 	idempotent bool
 	depth      uint32
+	// rerouted is set once a worker refused the call.
+	rerouted bool
 	// ran is set once a byte may have reached an upstream.
 	ran bool
 }
--- a/internal/forwarder/dispatch.go
+++ b/internal/forwarder/dispatch.go
@@ -97,7 +97,7 @@
 		return f.mayRetry(c, done, a.report.final)
 	}
 	if ref.Outcome == refuser.NotRun {
-		return f.mayReroute(done, ref)
+		return f.mayReroute(c, done, ref)
 	}
 	if ref.Reason == refuser.ConnectionLost {
 		return f.mayResume(c, done)
@@ -117,7 +117,7 @@
 }
 
 // mayReroute allows another worker for a call that no upstream has seen.
-func (f *Forwarder) mayReroute(done *attempts, ref *refuser.Refusal) bool {
+func (f *Forwarder) mayReroute(c *call, done *attempts, ref *refuser.Refusal) bool {
 	limit := maxReroutes
 	switch ref.Reason {
 	case refuser.Draining, refuser.NotReady, refuser.NoUpstream:
@@ -130,6 +130,7 @@
 		return false
 	}
 	done.reroutes++
+	c.rerouted = true
 	f.meters.reroute.Inc(1)
 	return true
 }
--- a/internal/forwarder/peer.go
+++ b/internal/forwarder/peer.go
@@ -90,5 +90,6 @@
 		budget:     retrier.NewBudget(token.GetRetries()),
 		idempotent: token.GetIdempotent(),
 		depth:      token.GetDepth(),
+		rerouted:   token.GetRerouted(),
 	}, nil
 }
--- a/internal/forwarder/upstream.go
+++ b/internal/forwarder/upstream.go
@@ -21,7 +21,7 @@
 
 // runUpstream passes a call through the gate to this node's own upstream.
 func (f *Forwarder) runUpstream(ctx context.Context, c *call, up *announcer.Upstream) (*answer, *refuser.Refusal, report) {
-	ticket, decision := up.Gate.Admit(ctx, admitter.Ask{Rank: c.rank, Deadline: c.deadline})
+	ticket, decision := up.Gate.Admit(ctx, admitter.Ask{Rank: c.rank, Deadline: c.deadline, Rerouted: c.rerouted})
 	if decision != admitter.Admitted {
 		return nil, gateRefusal(decision), f.reportOf(up, c, nestedState{})
 	}
