--- a/Makefile
+++ b/Makefile
@@ -8,7 +8,7 @@
 PROTOC_GEN_GO_VERSION := v1.36.12
 TWIRP_VERSION := v8.1.3+incompatible
 
-.PHONY: build test lint format generate check-generated tools lint-tools generate-tools soak fuzz clean
+.PHONY: docs capacity measure build test lint format generate check-generated tools lint-tools generate-tools soak fuzz clean
 
 build:
 	$(GO) build -o lavenderhub .
@@ -36,6 +36,22 @@
 generate: generate-tools
 	cd schema && buf generate
 
+# Manual pages and settings reference.
+docs: build
+	./lavenderhub docs docs
+
+# The slopes behind docs/CAPACITY.md.
+capacity: build
+	./lavenderhub experiment slopes
+	./lavenderhub experiment latency
+	./lavenderhub experiment claims
+
+# The figures of docs/MEASUREMENTS.md, about half an hour on an idle machine.
+measure: build
+	for x in latency overload account retries leaving control claims rate day slopes; do \
+		echo "## $$x"; ./lavenderhub experiment $$x || exit 1; \
+	done
+
 check-generated: generate
 	git diff --exit-code -- schema
 
--- a/internal/cmd/cmd.go
+++ b/internal/cmd/cmd.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"io"
 	"os"
+	"runtime/debug"
 
 	"github.com/spf13/cobra"
 	"go.uber.org/zap/zapcore"
@@ -26,38 +27,57 @@
 }
 
 // commands is the table of all subcommands. A parent stands before its children.
-var commands = []command{
-	cmdServe, cmdCheck, cmdDev, cmdVersion, cmdLoad, cmdExperiment,
-	cmdReport, cmdReportBurn,
-	cmdAdmin,
-	cmdAccount, cmdAccountCreate, cmdAccountSet, cmdAccountShow, cmdAccountList,
-	cmdKey, cmdKeyIssue, cmdKeyWithdraw, cmdKeyList,
-	cmdSettings, cmdSettingsGet, cmdSettingsSet, cmdSettingsUnset,
-	cmdControl, cmdControlStatus, cmdControlRemove, cmdControlTransfer,
+var commands []command
+
+func init() {
+	commands = []command{
+		cmdServe, cmdCheck, cmdDev, cmdVersion, cmdLoad, cmdExperiment, cmdDocs,
+		cmdReport, cmdReportBurn,
+		cmdAdmin,
+		cmdAccount, cmdAccountCreate, cmdAccountSet, cmdAccountShow, cmdAccountList,
+		cmdKey, cmdKeyIssue, cmdKeyWithdraw, cmdKeyList,
+		cmdSettings, cmdSettingsGet, cmdSettingsSet, cmdSettingsUnset,
+		cmdControl, cmdControlStatus, cmdControlRemove, cmdControlTransfer,
+	}
 }
 
+const (
+	// collectAt is the growth of the heap, in percent, after which it is collected. The live heap of a node is a few
+	// megabytes; at the usual 100 % it would be collected many times a second, which delays requests.
+	collectAt = 800
+	// memoryLimit is the memory in bytes beyond which the heap is collected sooner, for processes beside an upstream.
+	memoryLimit = 192 << 20
+)
+
 // Run runs the binary with its arguments and returns the exit status.
 func Run(args []string, out, errOut io.Writer) int {
+	debug.SetGCPercent(collectAt)
+	root := newRoot()
+	root.SetArgs(args)
+	root.SetOut(out)
+	root.SetErr(errOut)
+	if err := root.Execute(); err != nil {
+		fmt.Fprintln(errOut, err)
+		return 1
+	}
+	return 0
+}
+
+// newRoot builds the command line from the table.
+func newRoot() *cobra.Command {
 	root := &cobra.Command{
 		Use:           "lavenderhub",
 		Short:         "Overload control for service call graphs",
 		SilenceUsage:  true,
 		SilenceErrors: true,
 	}
-	root.SetArgs(args)
-	root.SetOut(out)
-	root.SetErr(errOut)
 	byName := map[string]*cobra.Command{"": root}
 	for _, c := range commands {
 		cc := c.build()
 		byName[c.parent].AddCommand(cc)
 		byName[fullName(c)] = cc
 	}
-	if err := root.Execute(); err != nil {
-		fmt.Fprintln(errOut, err)
-		return 1
-	}
-	return 0
+	return root
 }
 
 func fullName(c command) string {
--- a/internal/cmd/cmd_serve.go
+++ b/internal/cmd/cmd_serve.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"os/signal"
+	"runtime/debug"
 	"syscall"
 
 	"github.com/pkg/errors"
@@ -30,6 +31,7 @@
 	if err != nil {
 		return err
 	}
+	debug.SetMemoryLimit(memoryLimit)
 	if cfg.GetFleet() != nil {
 		return errors.Errorf("%s describes a fleet; run it with lavenderhub dev --config %s", file, file)
 	}
--- a/internal/cmd/cmd_test.go
+++ b/internal/cmd/cmd_test.go
@@ -33,6 +33,25 @@
 	}
 }
 
+// TestDocs makes sure that the manual pages and the settings reference are those of this binary.
+func TestDocs(t *testing.T) {
+	folder := t.TempDir()
+	if status, out := run("docs", folder); status != 0 {
+		t.Fatal(out)
+	}
+	files, err := filepath.Glob(folder + "/man/*.md")
+	if err != nil || len(files) < len(commands) {
+		t.Fatalf("%d pages, %v", len(files), err)
+	}
+	for _, file := range append(files, folder+"/SETTINGS.md") {
+		name, _ := filepath.Rel(folder, file)
+		want, _ := os.ReadFile(file)
+		if got, err := os.ReadFile("../../docs/" + name); err != nil || string(got) != string(want) {
+			t.Errorf("docs/%s is out of date; run make docs (%v)", name, err)
+		}
+	}
+}
+
 func TestCheck(t *testing.T) {
 	file := filepath.Join(t.TempDir(), "s.jsonc")
 	if err := os.WriteFile(file, []byte("{\n  \"colour\": 1\n}\n"), 0o600); err != nil {
--- a/internal/experimenter/slopes.go
+++ b/internal/experimenter/slopes.go
@@ -59,7 +59,7 @@
 	_ = e.Timer.Sleep(ctx, e.span(3*time.Second))
 	sentBefore, receivedBefore := traffic(nodes)
 	work := metrics.GetOrRegisterTimer("control.syncWork", fleet.Registry)
-	workBefore, countBefore := work.Sum(), work.Count()
+	countBefore := work.Count()
 	cpuBefore, began := processorTime(), e.Timer.Now()
 	_ = e.Timer.Sleep(ctx, e.span(10*time.Second))
 	cpu, took := processorTime()-cpuBefore, e.Timer.Since(began).Seconds()
@@ -70,8 +70,8 @@
 		"%.0f/s sent, %.0f/s received", perNode(sent-sentBefore), perNode(received-receivedBefore))
 	e.note("processor time of the whole process (nodes and 3 control hosts)", scenario, "", "%.2f %% of a core, %.3f %% for each node",
 		100*cpu.Seconds()/took, 100*cpu.Seconds()/took/float64(n))
-	e.note("control goroutine's time for one exchange", scenario, "", "%.1f µs of %d exchanges",
-		float64(work.Sum()-workBefore)/float64(max(1, work.Count()-countBefore))/1000, work.Count()-countBefore)
+	e.note("control goroutine's time for one exchange", scenario, "", "mean %.1f µs, %d exchanges",
+		work.Mean()/1000, work.Count()-countBefore)
 	e.note("heap for each node", scenario, "≤ 256 MB", "%.2f MB", float64(heap()-heapBefore)/float64(n)/(1<<20))
 	return nil
 }
--- a/internal/exporter/exporter.go
+++ b/internal/exporter/exporter.go
@@ -52,7 +52,7 @@
 func timerLines(name string, m metrics.Timer) []string {
 	lines := []string{
 		fmt.Sprintf("%s_seconds_count %d", name, m.Count()),
-		fmt.Sprintf("%s_seconds_sum %g", name, float64(m.Sum())/1e9),
+		fmt.Sprintf("%s_seconds_mean %g", name, m.Mean()/1e9),
 	}
 	for i, v := range m.Percentiles(quantiles) {
 		lines = append(lines, fmt.Sprintf("%s_seconds{quantile=\"%g\"} %g", name, quantiles[i], v/1e9))
