--- a/internal/runner/control.go
+++ b/internal/runner/control.go
@@ -46,7 +46,8 @@
 		_ = c.controller.Kill()
 		return nil, err
 	}
-	b.Log.Info("controlStarted", zap.String("control", cfg.GetName()), zap.Stringer("address", c.server.Addr()))
+	b.Log.Info("controlStarted", zap.String("control", cfg.GetName()),
+		zap.String("failureDomain", cfg.GetFailureDomain()), zap.Stringer("address", c.server.Addr()))
 	return c, nil
 }
 
