Keep an answer's headers with its claim; mend signatures and dead code

Change: stored answers keep their headers up to 2 KB; the warm-up has ids of its own; addresses are netip in signatures; one registry by name.

--- a/internal/announcer/announcer.go
+++ b/internal/announcer/announcer.go
@@ -218,24 +218,28 @@
 
 // leave serves DELETE: the service and address are taken from the body, or the service from the query.
 func (a *Announcer) leave(r *http.Request) error {
-	service := r.URL.Query().Get("service")
-	address := r.URL.Query().Get("address")
-	if service == "" {
-		var msg Announcement
+	msg := Announcement{Service: r.URL.Query().Get("service"), Address: r.URL.Query().Get("address")}
+	if msg.Service == "" {
 		if err := json.NewDecoder(io.LimitReader(r.Body, maxBody)).Decode(&msg); err != nil {
 			return errors.New("name the service in the query or in a JSON body")
 		}
-		service, address = msg.Service, msg.Address
 	}
-	a.Leave(service, address)
+	var addr netip.AddrPort
+	if msg.Address != "" {
+		var err error
+		if addr, err = netip.ParseAddrPort(msg.Address); err != nil {
+			return errors.Errorf("bad address %q, want an IP address and a port", msg.Address)
+		}
+	}
+	a.Leave(msg.Service, addr)
 	return nil
 }
 
-// Leave removes an upstream. An empty address fits any.
-func (a *Announcer) Leave(service, address string) {
+// Leave removes an upstream. The zero address fits any.
+func (a *Announcer) Leave(service string, addr netip.AddrPort) {
 	a.mu.Lock()
 	up := a.byService[service]
-	if up == nil || (address != "" && up.Address.String() != address) {
+	if up == nil || (addr.IsValid() && up.Address != addr) {
 		a.mu.Unlock()
 		return
 	}
--- a/internal/applier/claim_book.go
+++ b/internal/applier/claim_book.go
@@ -67,12 +67,8 @@
 	}
 }
 
-func claimReply(state schema.ClaimState, a *schema.ClaimAnswer) *schema.ClaimReply {
-	r := &schema.ClaimReply{Status: schema.ReplyStatus_REPLY_STATUS_OK, State: state}
-	if a != nil {
-		r.Answer = &schema.Answer{Status: a.GetStatus(), ContentType: a.GetContentType(), Body: a.GetBody()}
-	}
-	return r
+func claimReply(state schema.ClaimState, a *schema.Answer) *schema.ClaimReply {
+	return &schema.ClaimReply{Status: schema.ReplyStatus_REPLY_STATUS_OK, State: state, Answer: a}
 }
 
 // settle records an outcome. An attempt that does not hold the claim changes nothing.
--- a/internal/cmd/admin.go
+++ b/internal/cmd/admin.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"io"
+	"net/netip"
 	"os"
 	"slices"
 	"strings"
@@ -33,6 +34,7 @@
 // adminOptions are the flags that all admin commands share.
 type adminOptions struct {
 	servers   []string
+	addresses []netip.AddrPort
 	tokenFile string
 	authority string
 	output    string
@@ -81,8 +83,23 @@
 	if err != nil {
 		return nil, err
 	}
+	if err := o.parseServers(); err != nil {
+		return nil, err
+	}
 	base := runner.Base{Timer: t, Log: zap.NewNop(), Security: security}
-	return runner.NewOperator(base, o.servers, strings.TrimSpace(string(token))), nil
+	return runner.NewOperator(base, o.addresses, strings.TrimSpace(string(token))), nil
+}
+
+func (o *adminOptions) parseServers() error {
+	o.addresses = nil
+	for _, s := range o.servers {
+		addr, err := netip.ParseAddrPort(s)
+		if err != nil {
+			return errors.Errorf("bad server %q, want an IP address and a port", s)
+		}
+		o.addresses = append(o.addresses, addr)
+	}
+	return nil
 }
 
 // change sends a command and prints its result. A result other than success is an error.
--- a/internal/cmd/cmd_admin_control.go
+++ b/internal/cmd/cmd_admin_control.go
@@ -33,10 +33,7 @@
 	if err != nil {
 		return err
 	}
-	client, err := op.Client(o.servers[0])
-	if err != nil {
-		return err
-	}
+	client := op.Client(o.addresses[0])
 	ctx, cancel := adminContext()
 	defer cancel()
 	reply, err := client.Status(ctx, &schema.StatusRequest{})
--- a/internal/cmd/cmd_report_burn.go
+++ b/internal/cmd/cmd_report_burn.go
@@ -6,7 +6,6 @@
 	"net/http"
 	"net/netip"
 
-	"github.com/pkg/errors"
 	"github.com/spf13/cobra"
 	"google.golang.org/protobuf/encoding/protojson"
 
@@ -56,7 +55,12 @@
 	var reports []*schema.BurnReport
 	var missing []string
 	for _, n := range status.GetNodeList() {
-		one, err := fetchBurn(ctx, op, n.GetAdminAddress())
+		addr, err := netip.ParseAddrPort(n.GetAdminAddress())
+		if err != nil {
+			missing = append(missing, n.GetName()+": it names no admin address; set adminAddress in its settings")
+			continue
+		}
+		one, err := fetchBurn(ctx, op, addr)
 		if err != nil {
 			missing = append(missing, n.GetName()+": "+err.Error())
 			continue
@@ -68,11 +72,7 @@
 	return report.Write(o.out, o.output)
 }
 
-func fetchBurn(ctx context.Context, op *runner.Operator, address string) (*schema.BurnReport, error) {
-	addr, err := netip.ParseAddrPort(address)
-	if err != nil {
-		return nil, errors.New("it names no admin address; set adminAddress in its settings")
-	}
+func fetchBurn(ctx context.Context, op *runner.Operator, addr netip.AddrPort) (*schema.BurnReport, error) {
 	peer := op.Peer(addr)
 	req, err := http.NewRequestWithContext(ctx, http.MethodGet, peer.URL(reporter.Path), http.NoBody)
 	if err != nil {
--- a/internal/controller/founding.go
+++ b/internal/controller/founding.go
@@ -42,11 +42,11 @@
 		if p.GetName() == c.cfg.GetName() {
 			continue
 		}
-		reply := c.askToJoin(ctx, p.GetAddress(), req)
+		reply := c.askToJoin(ctx, addressIn(p.GetAddress()), req)
 		if reply == nil || !reply.GetBlank() {
 			allBlank = false
 		}
-		if leader := reply.GetLeaderAddress(); leader != "" && !reply.GetAccepted() {
+		if leader := addressIn(reply.GetLeaderAddress()); leader.IsValid() && !reply.GetAccepted() {
 			c.askToJoin(ctx, leader, req)
 		}
 	}
@@ -56,7 +56,7 @@
 	return true, c.do(ctx, func(now time.Time) {
 		if c.core.IsBlank() {
 			c.log.Info("fleetFounded", zap.String("name", c.cfg.GetName()))
-			c.core.Found(c.cfg.GetName(), c.cfg.GetAddress(), now)
+			c.core.Found(&schema.ReplicaInfo{Id: c.core.Status().ID, Name: c.cfg.GetName(), Address: c.cfg.GetAddress()}, now)
 			c.lastTerm = foundingTerm
 		}
 	})
@@ -82,12 +82,17 @@
 	return true
 }
 
-// askToJoin returns nil when the peer does not answer.
-func (c *Controller) askToJoin(ctx context.Context, address string, req *schema.JoinRequest) *schema.JoinReply {
-	addr, err := netip.ParseAddrPort(address)
+// addressIn reads an address of a message. It returns the zero address when there is none.
+func addressIn(text string) netip.AddrPort {
+	addr, err := netip.ParseAddrPort(text)
 	if err != nil {
-		return nil
+		return netip.AddrPort{}
 	}
+	return addr
+}
+
+// askToJoin returns nil when the peer does not answer.
+func (c *Controller) askToJoin(ctx context.Context, addr netip.AddrPort, req *schema.JoinRequest) *schema.JoinReply {
 	ctx, cancel := context.WithTimeout(ctx, stepTimeout)
 	defer cancel()
 	peer := c.pool.Peer(addr)
--- a/internal/controller/leadership.go
+++ b/internal/controller/leadership.go
@@ -34,7 +34,6 @@
 	term     uint64
 	began    time.Time
 	owner    *limiter.Owner
-	accounts map[string]bool
 	nodes    map[string]*nodeState
 	services map[string]*serviceState
 }
@@ -73,7 +72,7 @@
 	}
 	c.leading = &leadership{
 		term: s.Term, began: now, owner: limiter.NewOwner(now, c.carry(now), c.assert),
-		accounts: map[string]bool{}, nodes: map[string]*nodeState{}, services: map[string]*serviceState{},
+		nodes: map[string]*nodeState{}, services: map[string]*serviceState{},
 	}
 	c.leading.refreshTerms(c.machine, now)
 	c.meter.leads.Update(1)
@@ -111,7 +110,6 @@
 	for _, a := range m.Accounts() {
 		p := m.Effective(resolver.AccountPath(a.GetId())).Policy
 		l.owner.SetTerms(a.GetId(), p.GetRate(), p.GetBurst(), now)
-		l.accounts[a.GetId()] = true
 	}
 }
 
--- a/internal/controller/sync.go
+++ b/internal/controller/sync.go
@@ -132,9 +132,7 @@
 func (c *Controller) Settle(ctx context.Context, req *schema.SettleRequest) (*schema.SettleReply, error) {
 	ch := &schema.ClaimChange{
 		Account: req.GetAccount(), IdempotencyKey: req.GetIdempotencyKey(), Attempt: req.GetAttempt(), Settle: true, NotRun: req.GetNotRun(),
-	}
-	if a := req.GetAnswer(); a != nil {
-		ch.Answer = &schema.ClaimAnswer{Status: a.GetStatus(), ContentType: a.GetContentType(), Body: a.GetBody()}
+		Answer: req.GetAnswer(),
 	}
 	return &schema.SettleReply{Status: c.changeClaim(ctx, ch).GetStatus()}, nil
 }
--- a/internal/dialer/pool.go
+++ b/internal/dialer/pool.go
@@ -66,22 +66,15 @@
 	return found.(*Peer)
 }
 
-// Retain closes the connections to all addresses that keep does not name.
-func (p *Pool) Retain(keep func(netip.AddrPort) bool) {
-	p.peers.Range(func(k, v any) bool {
-		if !keep(k.(netip.AddrPort)) {
-			p.peers.Delete(k)
-			v.(*Peer).current.Load().transport.CloseIdleConnections()
-		}
-		return true
-	})
-}
-
 // Close ends the watching of connections and closes the idle ones.
 func (p *Pool) Close() {
 	p.tomb.Kill(nil)
 	_ = p.tomb.Wait()
-	p.Retain(func(netip.AddrPort) bool { return false })
+	p.peers.Range(func(addr, peer any) bool {
+		p.peers.Delete(addr)
+		peer.(*Peer).current.Load().transport.CloseIdleConnections()
+		return true
+	})
 }
 
 // connection is one generation of connections to a peer.
@@ -111,8 +104,8 @@
 	return &connection{transport: tr, ctx: ctx, cancel: cancel}
 }
 
-func (p *Pool) dial(ctx context.Context, network, addr string) (net.Conn, error) {
-	conn, err := p.connect(ctx, network, addr)
+func (p *Pool) dial(ctx context.Context, network, target string) (net.Conn, error) {
+	conn, err := p.connect(ctx, network, target)
 	if err != nil {
 		return nil, err
 	}
--- a/internal/dialer/server.go
+++ b/internal/dialer/server.go
@@ -125,8 +125,3 @@
 func (s *Server) Close() error {
 	return s.http.Close()
 }
-
-// SetKeepAlives tells whether HTTP/1.1 connections stay open after an answer.
-func (s *Server) SetKeepAlives(on bool) {
-	s.http.SetKeepAlivesEnabled(on)
-}
--- a/internal/disturber/network.go
+++ b/internal/disturber/network.go
@@ -4,6 +4,7 @@
 import (
 	"context"
 	"net"
+	"net/netip"
 	"sync"
 	"time"
 
@@ -43,10 +44,10 @@
 }
 
 // Isolate cuts a process off, to and from the address that it serves.
-func (n *Network) Isolate(process, address string) {
+func (n *Network) Isolate(process string, addr netip.AddrPort) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	n.cut[process], n.cut[address] = true, true
+	n.cut[process], n.cut[addr.String()] = true, true
 }
 
 // Heal ends all cuts. What went silent before stays so.
@@ -70,10 +71,10 @@
 	return count
 }
 
-func (n *Network) isCut(process, address string) bool {
+func (n *Network) isCut(process, target string) bool {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	return n.cut[process] || n.cut[address]
+	return n.cut[process] || n.cut[target]
 }
 
 // silentConn is a connection that can go silent.
--- a/internal/documenter/documenter.go
+++ b/internal/documenter/documenter.go
@@ -22,8 +22,8 @@
 
 // Write writes the reference of the settings file and of the settings tree in Markdown.
 func Write(w io.Writer) error {
-	_, err := fmt.Fprint(w, "# Settings reference\n\nMade from the schema by `make docs`. A settings file is JSON with comments; durations are "+
-		"written like `\"250ms\"`, addresses are an IP address and a port.\n")
+	_, err := fmt.Fprint(w, "# Settings reference\n\nMade from the schema by `make docs`. A settings file is JSON with comments; "+
+		"durations are written like `\"250ms\"`, addresses are an IP address and a port.\n")
 	if err != nil {
 		return err
 	}
--- a/internal/experimenter/day.go
+++ b/internal/experimenter/day.go
@@ -191,7 +191,7 @@
 	if err != nil {
 		return err
 	}
-	d.network.Isolate(leader.Settings.GetName(), leader.Settings.GetAddress())
+	d.network.Isolate(leader.Settings.GetName(), leader.Address())
 	defer d.network.Heal()
 	_, err = d.fleet.Operator().Change(ctx, setRate("account/"+accountName(7), 40))
 	if err != nil {
--- a/internal/experimenter/latency.go
+++ b/internal/experimenter/latency.go
@@ -72,6 +72,8 @@
 func (e *Env) measure(ctx context.Context, plan loader.Plan) (*loader.Result, time.Duration, error) {
 	warm := plan
 	warm.Duration = e.span(3 * time.Second)
+	// Other ids, or idempotency keys would be known already.
+	warm.Seed += 1 << 32
 	for _, p := range []loader.Plan{warm, plan} {
 		l, err := loader.New(p, e.Timer)
 		if err != nil {
--- a/internal/forwarder/claim.go
+++ b/internal/forwarder/claim.go
@@ -98,10 +98,25 @@
 	}
 }
 
+// storedHeaders returns the headers that are kept with an answer, as far as they fit.
+func storedHeaders(h http.Header) []*schema.Header {
+	var out []*schema.Header
+	size := 0
+	for name, values := range h {
+		for _, v := range values {
+			if size += len(name) + len(v); size > storedHeaderBytes {
+				return out
+			}
+			out = append(out, &schema.Header{Name: name, Value: v})
+		}
+	}
+	return out
+}
+
 func storedAnswer(stored *schema.Answer) *answer {
 	h := http.Header{}
-	if stored.GetContentType() != "" {
-		h.Set("Content-Type", stored.GetContentType())
+	for _, one := range stored.GetHeaders() {
+		h.Add(one.GetName(), one.GetValue())
 	}
 	h.Set(refuser.HeaderOutcome, string(refuser.AlreadyRun))
 	h.Set(refuser.HeaderReason, string(refuser.Settled))
@@ -118,7 +133,7 @@
 	case ref != nil:
 		return
 	case a.isWhole() && len(a.held) <= storedBody:
-		req.Answer = &schema.Answer{Status: uint32(a.status), ContentType: a.header.Get("Content-Type"), Body: a.held}
+		req.Answer = &schema.Answer{Status: uint32(a.status), Headers: storedHeaders(a.header), Body: a.held}
 	}
 	f.send(req)
 }
--- a/internal/forwarder/forwarder.go
+++ b/internal/forwarder/forwarder.go
@@ -29,6 +29,8 @@
 	heldBody = 64 << 10
 	// storedBody is the largest answer that is kept with an idempotency key, in bytes.
 	storedBody = 8 << 10
+	// storedHeaderBytes bounds the headers that are kept with it.
+	storedHeaderBytes = 2 << 10
 )
 
 // Control is the forwarder's view of the control hosts.
--- a/internal/limiter/owner.go
+++ b/internal/limiter/owner.go
@@ -121,11 +121,6 @@
 	p.clamp(now)
 }
 
-// Forget drops an account that no longer exists.
-func (o *Owner) Forget(account string) {
-	delete(o.pools, account)
-}
-
 // Draw takes in a node's totals and grants tokens. It returns false for an unknown account.
 func (o *Owner) Draw(h Holder, ask Ask, now time.Time) (Grant, bool) {
 	p := o.pools[ask.Account]
--- a/internal/replicator/core.go
+++ b/internal/replicator/core.go
@@ -153,9 +153,9 @@
 	return c
 }
 
-// Found makes this replica the only voter of a new fleet.
-func (c *Core) Found(name, address string, now time.Time) {
-	set := &schema.ReplicaSet{Replicas: []*schema.ReplicaInfo{{Id: c.id, Name: name, Address: address}}}
+// Found makes this replica the only voter of a new fleet, as it describes itself.
+func (c *Core) Found(self *schema.ReplicaInfo, now time.Time) {
+	set := &schema.ReplicaSet{Replicas: []*schema.ReplicaInfo{self}}
 	c.term = 1
 	c.hardDirty = true
 	c.appendEntry(schema.EntryKind_ENTRY_KIND_REPLICAS, marshalSet(set))
--- a/internal/replicator/random_test.go
+++ b/internal/replicator/random_test.go
@@ -66,7 +66,8 @@
 		w.hosts = append(w.hosts, h)
 		w.blank(h)
 	}
-	w.hosts[0].core.Found(w.hosts[0].name, w.hosts[0].name, w.clock(w.hosts[0]))
+	first := w.hosts[0]
+	first.core.Found(&schema.ReplicaInfo{Id: first.id, Name: first.name, Address: first.name}, w.clock(first))
 	return w
 }
 
--- a/internal/retrier/ratio.go
+++ b/internal/retrier/ratio.go
@@ -40,30 +40,12 @@
 
 // Ratios holds one Ratio for each name. It is safe for concurrent use.
 type Ratios struct {
-	byName sync.Map
+	names[Ratio]
 }
 
 // Of returns the Ratio of a name.
 func (r *Ratios) Of(name string) *Ratio {
-	if found, ok := r.byName.Load(name); ok {
-		return found.(*Ratio)
-	}
-	found, _ := r.byName.LoadOrStore(name, NewRatio())
-	return found.(*Ratio)
-}
-
-// Throttles holds one Throttle for each name. It is safe for concurrent use.
-type Throttles struct {
-	byName sync.Map
-}
-
-// Of returns the Throttle of a name.
-func (t *Throttles) Of(name string) *Throttle {
-	if found, ok := t.byName.Load(name); ok {
-		return found.(*Throttle)
-	}
-	found, _ := t.byName.LoadOrStore(name, NewThrottle())
-	return found.(*Throttle)
+	return r.of(name, NewRatio)
 }
 
 // TakeBoth uses one retry of each of two names, or of neither.
--- a/internal/retrier/throttle.go
+++ b/internal/retrier/throttle.go
@@ -78,3 +78,13 @@
 		t.successes++
 	}
 }
+
+// Throttles holds one Throttle for each name. It is safe for concurrent use.
+type Throttles struct {
+	names[Throttle]
+}
+
+// Of returns the Throttle of a name.
+func (t *Throttles) Of(name string) *Throttle {
+	return t.of(name, NewThrottle)
+}
--- a/internal/runner/control.go
+++ b/internal/runner/control.go
@@ -51,6 +51,11 @@
 	return c, nil
 }
 
+// Address returns the address that the replica serves.
+func (c *Control) Address() netip.AddrPort {
+	return c.server.Addr()
+}
+
 // Status describes the replica.
 func (c *Control) Status(ctx context.Context) (*schema.StatusReply, error) {
 	return c.controller.Status(ctx, &schema.StatusRequest{})
--- a/internal/runner/failure_test.go
+++ b/internal/runner/failure_test.go
@@ -86,7 +86,7 @@
 			t.Fatalf("before: %d %s", r.status, r.body)
 		}
 	}
-	net.Isolate(old.Settings.GetName(), old.Settings.GetAddress())
+	net.Isolate(old.Settings.GetName(), old.Address())
 	if got := change(t, f, withdraw(f.Keys[1].KeyID)); !got.GetKey().GetWithdrawn() {
 		t.Fatalf("withdrawal: %v", got)
 	}
@@ -302,7 +302,7 @@
 			r = post(w, "deposit-1", "40")
 			return r.status != http.StatusServiceUnavailable && r.status != http.StatusTooManyRequests
 		})
-		if r.body != first.body || r.header.Get("Lavenderhub-Outcome") != "alreadyRun" {
+		if r.body != first.body || r.header.Get("X-Checksum") != first.header.Get("X-Checksum") || r.header.Get("Lavenderhub-Outcome") != "alreadyRun" {
 			t.Fatalf("%s: %d %s %s", when, r.status, r.header.Get("Lavenderhub-Outcome"), r.body)
 		}
 	}
--- a/internal/runner/fleet.go
+++ b/internal/runner/fleet.go
@@ -44,7 +44,7 @@
 	Controls  []*FleetControl
 	Workers   []*FleetWorker
 	operator  *Operator
-	addresses []string
+	addresses []netip.AddrPort
 	// Runs counts the requests that the stand-ins of each service ran.
 	Runs map[string]*responder.Runs
 }
@@ -148,7 +148,7 @@
 			return err
 		}
 		peers = append(peers, &schema.PeerSettings{Name: fmt.Sprintf("control-%d", i+1), Address: addr.String()})
-		f.addresses = append(f.addresses, addr.String())
+		f.addresses = append(f.addresses, addr)
 	}
 	for i, p := range peers {
 		cfg := &schema.ControlSettings{
@@ -196,7 +196,7 @@
 		Service: s.GetName(),
 		Settings: &schema.NodeSettings{
 			Name: fmt.Sprintf("%s-%d", s.GetName(), i+1), FailureDomain: w.GetFailureDomain(), Region: w.GetRegion(),
-			CallerAddress: callers.String(), PeerAddress: peers.String(), ControlAddresses: f.addresses,
+			CallerAddress: callers.String(), PeerAddress: peers.String(), ControlAddresses: texts(f.addresses),
 		},
 		spec: responder.Config{
 			Service: s.GetName(), Slots: int(w.GetSlots()), Time: w.GetServiceTime().AsDuration(), Calls: s.GetCalls(), Node: callers,
@@ -213,6 +213,14 @@
 	return f.StartResponder(worker)
 }
 
+func texts(addresses []netip.AddrPort) []string {
+	out := make([]string, len(addresses))
+	for i, a := range addresses {
+		out[i] = a.String()
+	}
+	return out
+}
+
 // StartNode starts the node of a worker, again after it ended.
 func (f *Fleet) StartNode(w *FleetWorker) error {
 	n, err := StartNode(f.baseOf(w.Settings.GetName()), w.Settings, w.Admin.Addr(), f.baseline)
--- a/internal/runner/node.go
+++ b/internal/runner/node.go
@@ -103,10 +103,10 @@
 }
 
 // open listens on an address of the settings.
-func open(address string) (net.Listener, error) {
-	addr, err := netip.ParseAddrPort(address)
+func open(text string) (net.Listener, error) {
+	addr, err := netip.ParseAddrPort(text)
 	if err != nil {
-		return nil, errors.Wrapf(err, "address %q", address)
+		return nil, errors.Wrapf(err, "address %q", text)
 	}
 	return dialer.Open(addr)
 }
--- a/internal/runner/operator.go
+++ b/internal/runner/operator.go
@@ -4,6 +4,7 @@
 	"context"
 	"net/http"
 	"net/netip"
+	"slices"
 	"time"
 
 	"github.com/pkg/errors"
@@ -28,12 +29,12 @@
 	base      Base
 	pool      *dialer.Pool
 	token     string
-	addresses []string
+	addresses []netip.AddrPort
 	next      int
 }
 
 // NewOperator returns a client that knows some control hosts.
-func NewOperator(b Base, addresses []string, token string) *Operator {
+func NewOperator(b Base, addresses []netip.AddrPort, token string) *Operator {
 	return &Operator{base: b, pool: dialer.NewPool(b.Security, b.Timer), token: token, addresses: addresses}
 }
 
@@ -51,13 +52,9 @@
 }
 
 // Client returns the API client of one control host.
-func (o *Operator) Client(address string) (schema.Admin, error) {
-	addr, err := netip.ParseAddrPort(address)
-	if err != nil {
-		return nil, errors.Errorf("bad address %q, want an IP address and a port", address)
-	}
+func (o *Operator) Client(addr netip.AddrPort) schema.Admin {
 	peer := o.pool.Peer(addr)
-	return schema.NewAdminProtobufClient(peer.URL(""), &http.Client{Transport: &bearer{peer: peer, token: o.token}}), nil
+	return schema.NewAdminProtobufClient(peer.URL(""), &http.Client{Transport: &bearer{peer: peer, token: o.token}})
 }
 
 // Peer returns another process of the fleet.
@@ -105,10 +102,7 @@
 func (o *Operator) Try(ctx context.Context, call func(context.Context, schema.Admin) (leader string, again bool, err error)) error {
 	last := errors.New("no control host was tried")
 	for ctx.Err() == nil {
-		client, err := o.Client(o.addresses[o.next%len(o.addresses)])
-		if err != nil {
-			return err
-		}
+		client := o.Client(o.addresses[o.next%len(o.addresses)])
 		try, cancel := context.WithTimeout(ctx, operatorTimeout)
 		leader, again, err := call(try, client)
 		cancel()
@@ -142,16 +136,16 @@
 	}
 }
 
+// turnTo makes the next try go to the leader, if its address is known, or else to the next control host.
 func (o *Operator) turnTo(leader string) {
 	o.next++
-	for i, a := range o.addresses {
-		if a == leader {
-			o.next = i
-			return
-		}
+	addr, err := netip.ParseAddrPort(leader)
+	if err != nil {
+		return
 	}
-	if leader != "" {
-		o.addresses = append(o.addresses, leader)
-		o.next = len(o.addresses) - 1
+	o.next = slices.Index(o.addresses, addr)
+	if o.next < 0 {
+		o.next = len(o.addresses)
+		o.addresses = append(o.addresses, addr)
 	}
 }
