Let a restarted node serve its own service to callers

A node never asked for the workers of a service whose upstream stands beside it. Ruled out: silent connections and the change of leader (the reason named no upstream, and the upstream had announced itself). Change: nodes watch their own upstreams' services; a service is located before the own upstream is taken for an answer. Figures: TestRestartedNode fails before (60 s without an answer) and passes after.

--- a/internal/experimenter/control.go
+++ b/internal/experimenter/control.go
@@ -4,11 +4,13 @@
 	"context"
 	"net/http"
 	"slices"
+	"strconv"
 	"time"
 
 	"github.com/pkg/errors"
 	"google.golang.org/protobuf/proto"
 
+	"github.com/lavenderhub/lavenderhub/internal/refuser"
 	"github.com/lavenderhub/lavenderhub/internal/runner"
 	"github.com/lavenderhub/lavenderhub/schema"
 )
@@ -113,17 +115,28 @@
 }
 
 func (e *Env) ask(ctx context.Context, w *runner.FleetWorker, key string) int {
+	status, _ := e.call(ctx, w, key)
+	return status
+}
+
+// explain says what a node answers, and why.
+func (e *Env) explain(ctx context.Context, w *runner.FleetWorker, key string) string {
+	status, reason := e.call(ctx, w, key)
+	return strconv.Itoa(status) + " " + reason
+}
+
+func (e *Env) call(ctx context.Context, w *runner.FleetWorker, key string) (status int, reason string) {
 	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+w.CallerAddr().String()+"/"+w.Service+"/x", http.NoBody)
 	if err != nil {
-		return 0
+		return 0, ""
 	}
 	req.Header.Set("Authorization", "Bearer "+key)
 	resp, err := http.DefaultClient.Do(req)
 	if err != nil {
-		return 0
+		return 0, ""
 	}
 	_ = resp.Body.Close()
-	return resp.StatusCode
+	return resp.StatusCode, resp.Header.Get(refuser.HeaderReason)
 }
 
 // failovers kills the leader again and again.
--- a/internal/experimenter/day.go
+++ b/internal/experimenter/day.go
@@ -168,7 +168,7 @@
 	works := func(w *runner.FleetWorker) bool { return d.env.ask(ctx, w, key) == http.StatusOK }
 	for _, w := range d.fleet.Workers {
 		if err := d.env.await(ctx, func() bool { return works(w) }); err != nil {
-			return errors.Wrapf(err, "node %s answers %d to a working key", w.Settings.GetName(), d.env.ask(ctx, w, key))
+			return errors.Wrapf(err, "node %s answers a working key with %s", w.Settings.GetName(), d.env.explain(ctx, w, key))
 		}
 	}
 	cmd := &schema.Command{Change: &schema.Command_WithdrawKey{WithdrawKey: &schema.WithdrawKey{KeyId: keyID}}}
--- a/internal/forwarder/caller.go
+++ b/internal/forwarder/caller.go
@@ -100,7 +100,7 @@
 }
 
 func (f *Forwarder) knows(ctx context.Context, service string) bool {
-	return f.Router.Has(service) || f.Announcer.Upstream(service) != nil || f.Control.Locate(ctx, service)
+	return f.Router.Has(service) || f.Control.Locate(ctx, service) || f.Announcer.Upstream(service) != nil
 }
 
 // authenticate finds the client account of a request by its key.
--- a/internal/runner/failure_test.go
+++ b/internal/runner/failure_test.go
@@ -415,3 +415,19 @@
 	cancel()
 	group.Wait()
 }
+
+// TestRestartedNode restarts a node and calls its own upstream's service through it, before anything else asked for that.
+func TestRestartedNode(t *testing.T) {
+	f := startFleet(t, twoServices())
+	w := f.Workers[0]
+	if err := w.Kill(); err != nil {
+		t.Fatal(err)
+	}
+	if err := f.StartNode(w); err != nil {
+		t.Fatal(err)
+	}
+	eventually(t, "its upstream has announced itself", w.HasUpstream)
+	eventually(t, "it serves its own service", func() bool {
+		return send(t.Context(), w, f.Keys[0].Key, http.MethodGet, "/front/a", "").status == http.StatusOK
+	})
+}
--- a/internal/syncer/syncer.go
+++ b/internal/syncer/syncer.go
@@ -352,6 +352,8 @@
 		w.Node, w.FailureDomain, w.Region = s.Node.Name, s.Node.Domain, s.Node.Region
 		w.PeerAddress = s.Node.PeerAddress.String()
 		req.Workers = append(req.Workers, w)
+		// Callers of the own upstream's service may come here too.
+		s.watch(w.GetService())
 	}
 	s.mu.Lock()
 	for service := range s.watches {
