--- a/internal/runner/fleet.go
+++ b/internal/runner/fleet.go
@@ -45,6 +45,8 @@
 	Workers   []*FleetWorker
 	operator  *Operator
 	addresses []netip.AddrPort
+	// configured is the revision of the last setting made at the start.
+	configured uint64
 	// Runs counts the requests that the stand-ins of each service ran.
 	Runs map[string]*responder.Runs
 }
@@ -281,6 +283,7 @@
 	if result.GetStatus() != schema.ResultStatus_RESULT_STATUS_OK {
 		return errors.New(result.GetMessage())
 	}
+	f.configured = max(f.configured, result.GetRevision())
 	return nil
 }
 
@@ -305,13 +308,9 @@
 	if err != nil || int(status.GetNodes()) < len(f.Workers) {
 		return false
 	}
-	newest := uint64(0)
-	for _, w := range f.Workers {
-		newest = max(newest, w.Revision())
-	}
 	return !slices.ContainsFunc(f.Workers, func(w *FleetWorker) bool {
 		up := w.announcer.Upstream(w.Service)
-		return !w.IsReady() || w.Revision() < newest || newest == 0 || up == nil || !w.Locates(ctx, w.Service)
+		return !w.IsReady() || w.Revision() == 0 || w.Revision() < f.configured || up == nil || !w.Locates(ctx, w.Service)
 	})
 }
 
