Keep the upstream of a stopping node in service while callers leave

Cause: a node drained its upstream with the signal to stop, though it serves on for 3 s while its callers leave: out of service for 4.5 s a stop.

Ruled out: the readiness of the nodes (they leave and return one by one) and the workers, which are well throughout.

Change: the node drains its upstream when its callers have left.

Test: TestStoppingNodeServesOn got 503 noUpstream before.

--- a/internal/runner/failure_test.go
+++ b/internal/runner/failure_test.go
@@ -441,3 +441,23 @@
 		return send(t.Context(), w, f.Keys[0].Key, http.MethodGet, "/front/a", "").status == http.StatusOK
 	})
 }
+
+// TestStoppingNodeServesOn stops the node beside the only worker of a service: while callers leave that node, others must
+// still find the worker.
+func TestStoppingNodeServesOn(t *testing.T) {
+	cfg := twoServices()
+	cfg.Services[1].Workers = cfg.Services[1].Workers[:1]
+	f := startFleet(t, cfg)
+	stopping := f.Workers[2]
+	var group sync.WaitGroup
+	group.Go(func() {
+		if err := stopping.Stop(); err != nil {
+			t.Errorf("stop: %v", err)
+		}
+	})
+	eventually(t, "the node is not ready", func() bool { return !stopping.IsReady() })
+	if r := send(t.Context(), f.Workers[0], f.Keys[0].Key, http.MethodGet, "/back/a", ""); r.status != http.StatusOK {
+		t.Errorf("a request at another node: %d %v %s", r.status, r.err, r.body)
+	}
+	group.Wait()
+}
--- a/internal/runner/node.go
+++ b/internal/runner/node.go
@@ -216,16 +216,16 @@
 	return n.recorder.Report()
 }
 
-// Stop ends the node without cutting off a request: no new work for the upstream first, then no new callers, then no
-// connections, and the tokens go back. Only requests beyond the stop limit are cut.
+// Stop ends the node without cutting off a request: callers leave first, while the upstream serves on; then it takes no
+// new work; then connections close, and the tokens go back. Only requests beyond the stop limit are cut.
 func (n *Node) Stop() error {
 	limit, spread := n.stopTimes()
 	ctx, cancel := context.WithTimeout(context.Background(), limit)
 	defer cancel()
 	n.Log.Info("nodeStopping", zap.String("node", n.cfg.GetName()))
-	n.announcer.Stop()
 	n.forwarder.Stop()
 	_ = n.Timer.Sleep(ctx, spread)
+	n.announcer.Stop()
 	n.awaitIdle(ctx)
 	err := n.callers.Shutdown(ctx)
 	if hopErr := n.hops.Shutdown(ctx); err == nil {
