Find a running upstream by a health check when its node starts

Cause: a node that restarts knew of the upstream beside it only from its next heartbeat, up to 1.5 s later; a farewell that came before was forgotten, so that a late heartbeat brought back a run that had left; and the farewell of an earlier run under the same id removed the present one.

Ruled out: asking the control hosts, which may have been restarted as well.

Farewells are remembered for unknown runs too, and carry the start of their run.

--- a/internal/announcer/announcer.go
+++ b/internal/announcer/announcer.go
@@ -33,6 +33,8 @@
 	maxSlots = 100000
 	// maxBody bounds an announcement in bytes.
 	maxBody = 4096
+	// maxDepartures bounds the runs that left and are remembered.
+	maxDepartures = 1024
 )
 
 // Announcement is the body of an upstream's heartbeat.
@@ -67,6 +69,8 @@
 	heard    time.Time
 	began    time.Time
 	sequence uint64
+	// adopted tells that no heartbeat of the run has come yet.
+	adopted bool
 }
 
 // Announcer keeps the upstreams beside this node. It is safe for concurrent use.
@@ -186,7 +190,10 @@
 		a.mu.Unlock()
 		return nil
 	}
-	fresh := up == nil || up.Address != addr || up.Instance != msg.Instance || !up.began.Equal(msg.Began)
+	fresh := up == nil || up.Address != addr || up.Instance != msg.Instance || (!up.adopted && !up.began.Equal(msg.Began))
+	if !fresh {
+		up.began, up.adopted = msg.Began, false
+	}
 	if fresh {
 		if up != nil {
 			up.Gate.Drain()
@@ -211,6 +218,29 @@
 	return nil
 }
 
+// Adopt takes in an upstream that answered a health check before its first heartbeat. It returns an error when the run is
+// known to have left or to have been followed by another.
+func (a *Announcer) Adopt(service string, addr netip.AddrPort, instance string, slots int) error {
+	msg := Announcement{Service: service, Address: addr.String(), Slots: slots, State: "ready", Instance: instance}
+	if _, _, err := check(msg); err != nil {
+		return err
+	}
+	a.mu.Lock()
+	if _, ok := a.left[instance]; ok || a.byService[service] != nil {
+		a.mu.Unlock()
+		return errors.Errorf("run %q has left, or its service has an upstream", instance)
+	}
+	up := a.newUpstream(msg, addr)
+	up.state, up.slots, up.heard, up.adopted = schema.UpstreamState_UPSTREAM_STATE_READY, slots, a.timer.Now(), true
+	if a.stopping {
+		up.Gate.Drain()
+	}
+	a.byService[service] = up
+	a.mu.Unlock()
+	a.onChange()
+	return nil
+}
+
 // isLate reports whether a heartbeat is older than what is known: of a run that left or was followed by another, or
 // overtaken by a later heartbeat of its own run. A run that said that it leaves does not come back.
 func (a *Announcer) isLate(msg Announcement, up *Upstream) bool {
@@ -295,18 +325,33 @@
 	a.onChange()
 }
 
-// LeaveInstance removes the upstream of a run, and keeps its late heartbeats from bringing it back. It reports whether
-// the run was known.
-func (a *Announcer) LeaveInstance(instance string) bool {
+// LeaveInstance removes the upstream of a run that began at a time, which may be zero, and keeps the run's late heartbeats
+// from bringing it back, also at a node that has just started. A farewell of an earlier run of that name changes nothing.
+// It reports whether the run was known.
+func (a *Announcer) LeaveInstance(instance string, began time.Time) bool {
 	a.mu.Lock()
 	found := false
 	now := a.timer.Now()
 	for _, up := range a.byService {
-		if up.Instance == instance {
-			a.left[instance] = departure{began: up.began, at: now}
-			a.remove(up)
-			found = true
+		if up.Instance != instance {
+			continue
 		}
+		if !up.adopted && began.Before(up.began) && !began.IsZero() {
+			a.mu.Unlock()
+			return false
+		}
+		if !up.adopted {
+			began = up.began
+		}
+		a.remove(up)
+		found = true
+	}
+	if began.IsZero() {
+		// Nothing is known of the run but that it began before now.
+		began = now
+	}
+	if len(a.left) < maxDepartures {
+		a.left[instance] = departure{began: began, at: now}
 	}
 	a.mu.Unlock()
 	if found {
--- a/internal/parser/verify.go
+++ b/internal/parser/verify.go
@@ -22,10 +22,23 @@
 	if cfg.GetFleet() == nil && cfg.GetTls() == nil && cfg.GetFleetTokenFile() == "" && !cfg.GetTrustedNetwork() {
 		w.failAt("", "set fleetTokenFile or tls, so that only the fleet's processes are let in")
 	}
+	verifyNode(cfg.GetNode(), w)
 	verifyControl(cfg.GetControl(), w)
 	verifyFleet(cfg.GetFleet(), w)
 }
 
+func verifyNode(cfg *schema.NodeSettings, w *walker) {
+	if cfg.GetUpstreamAddress() == "" {
+		return
+	}
+	if cfg.GetFace() == schema.Face_FACE_UNSPECIFIED {
+		w.failAt("node.upstreamAddress", "node.upstreamAddress needs a face whose upstreams answer health checks; remove it")
+	}
+	if cfg.GetService() == "" {
+		w.failAt("node.upstreamAddress", "node.upstreamAddress needs node.service as well")
+	}
+}
+
 func verifyControl(cfg *schema.ControlSettings, w *walker) {
 	if cfg == nil {
 		return
--- a/internal/resolver/view.go
+++ b/internal/resolver/view.go
@@ -74,6 +74,13 @@
 	hosts     map[string][]*HostRoute
 	// Limits bounds what callers may send; it is nil before the first whole configuration.
 	Limits *schema.CallerLimits
+	// health holds the path of the health check of each service.
+	health map[string]string
+}
+
+// HealthPath returns the path of the health check of a service's upstreams, or nothing.
+func (v *View) HealthPath(service string) string {
+	return v.health[service]
 }
 
 // Key returns the key with a digest.
@@ -211,6 +218,10 @@
 	m.buildRoutes(v)
 	v.hosts = buildHostRoutes(m.routes)
 	v.Limits = m.head.GetLimits()
+	v.health = map[string]string{}
+	for _, s := range m.head.GetServices() {
+		v.health[s.GetName()] = s.GetHealthPath()
+	}
 	return v
 }
 
--- a/internal/runner/face.go
+++ b/internal/runner/face.go
@@ -9,6 +9,7 @@
 	"github.com/lavenderhub/lavenderhub/internal/dialer"
 	"github.com/lavenderhub/lavenderhub/internal/exchanger"
 	"github.com/lavenderhub/lavenderhub/internal/forwarder"
+	"github.com/lavenderhub/lavenderhub/internal/prober"
 	"github.com/lavenderhub/lavenderhub/platform"
 	"github.com/lavenderhub/lavenderhub/schema"
 )
@@ -28,6 +29,8 @@
 	// open starts what listens on addresses of its own.
 	open    func(n *Node) error
 	callers func(n *Node) http.Handler
+	// health decodes the answer of the own upstream's health check; nil when there is none.
+	health func(*http.Response) (prober.Health, bool)
 }
 
 func faceOf(cfg *schema.NodeSettings) face {
@@ -60,6 +63,7 @@
 		forwarderOptions: func() []forwarder.Option { return []forwarder.Option{forwarder.WithDialect(platform.Dialect())} },
 		open:             openPlatform,
 		callers:          func(n *Node) http.Handler { return platform.NewIngress(n.forwarder) },
+		health:           platform.ReadHealth,
 	}
 }
 
--- a/internal/runner/node.go
+++ b/internal/runner/node.go
@@ -18,6 +18,7 @@
 	"github.com/lavenderhub/lavenderhub/internal/asserter"
 	"github.com/lavenderhub/lavenderhub/internal/dialer"
 	"github.com/lavenderhub/lavenderhub/internal/forwarder"
+	"github.com/lavenderhub/lavenderhub/internal/prober"
 	"github.com/lavenderhub/lavenderhub/internal/reporter"
 	"github.com/lavenderhub/lavenderhub/internal/resolver"
 	"github.com/lavenderhub/lavenderhub/internal/retrier"
@@ -108,6 +109,9 @@
 	if err := n.face.open(n); err != nil {
 		return nil, err
 	}
+	if err := n.probe(); err != nil {
+		return nil, err
+	}
 	n.callers = b.Security.Serve(&n.tomb, callers, dialer.Callers, n.face.callers(n))
 	n.hops = b.Security.Serve(&n.tomb, hops, dialer.Peers, http.HandlerFunc(n.forwarder.ServePeer))
 	n.Log.Info("nodeStarted", zap.String("node", cfg.GetName()),
@@ -124,6 +128,29 @@
 	return dialer.Open(addr)
 }
 
+// probe looks for the own upstream, when the settings name its address.
+func (n *Node) probe() error {
+	if n.cfg.GetUpstreamAddress() == "" || n.face.health == nil {
+		return nil
+	}
+	addr, err := netip.ParseAddrPort(n.cfg.GetUpstreamAddress())
+	if err != nil {
+		return errors.Wrapf(err, "upstream address %q", n.cfg.GetUpstreamAddress())
+	}
+	service := n.cfg.GetService()
+	p := prober.New(prober.Parts{
+		Timer: n.Timer, Log: n.Log, Announcer: n.announcer, Service: service, Address: addr, Read: n.face.health,
+		Path: func() string {
+			if view := n.syncer.View(); view != nil {
+				return view.HealthPath(service)
+			}
+			return ""
+		},
+	})
+	n.tomb.Go(func() error { return p.Run(n.tomb.Context(context.Background())) })
+	return nil
+}
+
 func (n *Node) serveCaller(w http.ResponseWriter, r *http.Request) {
 	if r.URL.Path == announcer.Path {
 		n.announcer.ServeHTTP(w, r)
--- a/internal/runner/platform_test.go
+++ b/internal/runner/platform_test.go
@@ -69,6 +69,10 @@
 // answer writes the answer that the last segment of the path asks for. It reports whether the connection goes on.
 func (w *platformWorker) answer(c net.Conn, r *http.Request, body []byte) bool {
 	id := r.Header.Get("X-Attempt-Id")
+	if r.URL.Path == "/h" {
+		fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nX-Instance-Id: %s\r\nX-Server-Load: 3,0,20\r\nContent-Length: 0\r\n\r\n", w.instance)
+		return true
+	}
 	if expected := r.Header.Get("X-Expect-Instance"); expected != w.instance {
 		fmt.Fprintf(c, "HTTP/1.1 421 Misdirected Request\r\nX-Instance-Id: %s\r\nContent-Length: 0\r\n\r\n", w.instance)
 		return true
@@ -143,16 +147,17 @@
 		}}))
 	}
 	for i := range 2 {
-		f.nodes = append(f.nodes, f.start(&schema.Settings{TrustedNetwork: true, Node: &schema.NodeSettings{
-			Name: fmt.Sprintf("side-%d", i), FailureDomain: "d1", Region: "r1", CallerAddress: take(), PeerAddress: take(),
-			AnnounceAddress: take(), ReadyAddress: take(), ControlAddresses: f.seeds, Service: fmt.Sprintf("svc%d", i),
-			HeartbeatInterval: durationpb.New(time.Minute), Face: schema.Face_FACE_PLATFORM,
-		}}))
 		ln, err := net.Listen("tcp", "127.0.0.1:0")
 		if err != nil {
 			t.Fatal(err)
 		}
 		t.Cleanup(func() { _ = ln.Close() })
+		f.nodes = append(f.nodes, f.start(&schema.Settings{TrustedNetwork: true, Node: &schema.NodeSettings{
+			Name: fmt.Sprintf("side-%d", i), FailureDomain: "d1", Region: "r1", CallerAddress: take(), PeerAddress: take(),
+			AnnounceAddress: take(), ReadyAddress: take(), ControlAddresses: f.seeds, Service: fmt.Sprintf("svc%d", i),
+			HeartbeatInterval: durationpb.New(time.Minute), Face: schema.Face_FACE_PLATFORM,
+			UpstreamAddress: ln.Addr().String(),
+		}}))
 		w := &platformWorker{instance: fmt.Sprintf("i-%d", i), service: fmt.Sprintf("svc%d", i), listener: ln, runs: map[string]int{}}
 		f.workers = append(f.workers, w)
 		w.group.Go(w.serve)
@@ -393,3 +398,26 @@
 		t.Errorf("address %s", addr)
 	}
 }
+
+// A node that restarts beside a running upstream serves it before the upstream's next heartbeat.
+func TestPlatformRestartedNodeFindsUpstream(t *testing.T) {
+	f := serving(t)
+	cfg := f.nodes[1].node.cfg
+	if err := f.nodes[1].node.Kill(); err != nil {
+		t.Fatal(err)
+	}
+	f.nodes[1] = f.start(&schema.Settings{TrustedNetwork: true, Node: cfg})
+	for node := range f.nodes {
+		n := 0
+		eventually(t, "requests are served", func() bool {
+			n++
+			return f.send(node, http.MethodGet, "/one/x", "key-a", fmt.Sprintf("again-%d-%d", node, n), "").status == http.StatusOK
+		})
+	}
+	if status := f.post("http://"+cfg.GetAnnounceAddress()+"/instances/i-1/deregister", ""); status != http.StatusOK {
+		t.Fatalf("farewell: status %d", status)
+	}
+	if got := f.send(1, http.MethodPost, "/one/x", "key-a", "left", "x"); got.status != http.StatusServiceUnavailable {
+		t.Errorf("status %d after the upstream left", got.status)
+	}
+}
