Ask callers back when a part of the fleet that was down serves again

Cause: after a loss of power a node refuses for about a second, until control has a leader again.

Ruled out: the time to recover itself (processes 0.1 to 0.5 s, election 0.3 s, reports of the nodes 0.2 s).

Change: refusals for want of a certificate or of any worker ask for a return after the time of a recovery, 1 s, spread over half a second more.

--- a/internal/forwarder/caller.go
+++ b/internal/forwarder/caller.go
@@ -61,7 +61,7 @@
 }
 
 func notReady() *refuser.Refusal {
-	return sendAway(refuser.NotReady, "this node is not certified by a control host", retrier.Capacity)
+	return sendAway(refuser.NotReady, "this node is not certified by a control host", retrier.Recovery)
 }
 
 // sendAway is the refusal for a request that has not run, with the time at which its caller should return.
@@ -76,8 +76,10 @@
 	}
 	cause := retrier.Capacity
 	switch ref.Reason {
-	case refuser.Declined, refuser.Draining, refuser.NoUpstream:
+	case refuser.Declined, refuser.Draining:
 		cause = retrier.OneWorker
+	case refuser.NotReady, refuser.NoUpstream:
+		cause = retrier.Recovery
 	}
 	ref.RetryAfter = retrier.Pause(cause, c.route.ObjectiveLatency, 0, rand.Float64())
 	return ref
--- a/internal/forwarder/dispatch.go
+++ b/internal/forwarder/dispatch.go
@@ -72,7 +72,7 @@
 }
 
 func noUpstream() *refuser.Refusal {
-	return sendAway(refuser.NoUpstream, "no upstream of the service is ready", retrier.OneWorker)
+	return sendAway(refuser.NoUpstream, "no upstream of the service is ready", retrier.Recovery)
 }
 
 func (f *Forwarder) pick(c *call, tried []*router.Target) *router.Target {
--- a/internal/retrier/pause.go
+++ b/internal/retrier/pause.go
@@ -12,6 +12,9 @@
 	// by one worker while others may have room, the longer one where news of room takes its time.
 	fastShare = 8
 	slowShare = 4
+	// recoveryPause is the time in which a part of the fleet that was down serves again: the start of its processes, an
+	// election at its slowest, and the first exchange of a node with the new leader.
+	recoveryPause = time.Second
 )
 
 // Cause tells why a caller is sent away.
@@ -23,13 +26,16 @@
 	OneWorker Cause = iota
 	// Rate: the client account has used up its rate.
 	Rate
-	// Capacity: the service is full, or this node can't serve for now.
+	// Capacity: the service is full.
 	Capacity
+	// Recovery: nothing that could serve the request is up, at this node or behind it.
+	Recovery
 )
 
 // Pause returns when a caller that was refused before its request ran should return: while an answer can still meet its
 // objective, but no sooner than there is room, when that time is known. It answers a crowd of callers that are refused
-// at the same moment: a draw from [0, 1) spreads them over as long again as they wait.
+// at the same moment: a draw from [0, 1) spreads them over as long again as they wait, or over half of that after a loss of
+// power, when they were refused over as long a time.
 func Pause(cause Cause, objective, known time.Duration, draw float64) time.Duration {
 	if objective <= 0 {
 		objective = usualObjective
@@ -39,5 +45,9 @@
 		wait = objective / fastShare
 	}
 	wait = max(known, leastPause, min(mostPause, wait))
+	if cause == Recovery {
+		wait = max(wait, recoveryPause)
+		return wait + time.Duration(draw*float64(wait)/2)
+	}
 	return wait + time.Duration(draw*float64(wait))
 }
