--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -19,6 +19,9 @@
 	// nearShare is how much dearer a near worker may be than a far one before a call goes there: crossing to another failure
 	// domain costs bytes, and a small difference of means is mostly chance.
 	nearShare = 1.3
+	// choices is how many workers drawn at random are compared for a call. With three, half of a service of four may be slow
+	// and no call is forced there; with all, callers whose news is equally old would all turn to the same worker.
+	choices = 3
 	// panicShare is the part of a service's workers that must be healthy; with fewer, ejections are ignored.
 	panicShare = 0.5
 )
@@ -183,23 +186,18 @@
 	return r.best(candidates, now)
 }
 
-// best returns the cheaper of two workers drawn at random.
+// best returns the cheapest of a few workers drawn at random. It changes the order of the list.
 func (r *Router) best(list []*Target, now time.Time) *Target {
-	switch len(list) {
-	case 0:
-		return nil
-	case 1:
-		return list[0]
-	}
-	i := r.random(len(list))
-	j := r.random(len(list) - 1)
-	if j >= i {
-		j++
-	}
-	if list[j].cost(now) < list[i].cost(now) {
-		return list[j]
+	var best *Target
+	lowest := 0.0
+	for i := range min(choices, len(list)) {
+		j := i + r.random(len(list)-i)
+		list[i], list[j] = list[j], list[i]
+		if cost := list[i].cost(now); best == nil || cost < lowest {
+			best, lowest = list[i], cost
+		}
 	}
-	return list[i]
+	return best
 }
 
 func (r *Router) candidates(service string, tried []*Target, now time.Time) []*Target {
--- a/internal/router/router_test.go
+++ b/internal/router/router_test.go
@@ -107,3 +107,17 @@
 		}
 	}
 }
+
+// Three of four workers slow down by twelve times: while the fourth has room, calls go to the others only to learn whether
+// they have recovered.
+func TestPickAvoidsSlowWorkers(t *testing.T) {
+	const calls = 4000
+	for _, fast := range []string{"na", "nb", "nc", "nd"} {
+		latency := map[string]int{"na": 480, "nb": 480, "nc": 480, "nd": 480}
+		latency[fast] = 40
+		counts := play(fourWorkers(20), latency, calls)
+		if slow := calls - counts[fast]; slow > calls/20 {
+			t.Errorf("%d of %d calls went to slow workers, want at most one in twenty: %v", slow, calls, counts)
+		}
+	}
+}
