--- a/internal/cmd/cmd_serve.go
+++ b/internal/cmd/cmd_serve.go
@@ -8,6 +8,7 @@
 	"syscall"
 
 	"github.com/pkg/errors"
+	"github.com/rcrowley/go-metrics"
 	"github.com/spf13/cobra"
 
 	"github.com/lavenderhub/lavenderhub/internal/logger"
@@ -51,6 +52,7 @@
 	if err != nil {
 		return err
 	}
+	p.Registry.GetOrRegister("log.dropped", metrics.NewFunctionalGauge(out.Dropped))
 	w := runner.Watch(p, file, log)
 	defer w.Stop()
 	select {
--- a/internal/forwarder/caller.go
+++ b/internal/forwarder/caller.go
@@ -61,12 +61,24 @@
 }
 
 func notReady() *refuser.Refusal {
-	return sendAway(refuser.NotReady, "this node is not certified by a control host", retrier.Recovery)
+	return sendAway(refuser.NotReady, "this node is not certified by a control host")
 }
 
 // sendAway is the refusal for a request that has not run, with the time at which its caller should return.
-func sendAway(reason refuser.Reason, message string, cause retrier.Cause) *refuser.Refusal {
-	return refuser.NewRetryable(refuser.NotRun, reason, message, retrier.Pause(cause, 0, 0, rand.Float64()))
+func sendAway(reason refuser.Reason, message string) *refuser.Refusal {
+	return refuser.NewRetryable(refuser.NotRun, reason, message, retrier.Pause(causeOf(reason), 0, 0, rand.Float64()))
+}
+
+// causeOf returns the cause by which the time of a return is chosen.
+func causeOf(reason refuser.Reason) retrier.Cause {
+	switch reason {
+	case refuser.Declined, refuser.Draining:
+		return retrier.OneWorker
+	case refuser.NotReady, refuser.NoUpstream:
+		return retrier.Recovery
+	default:
+		return retrier.Capacity
+	}
 }
 
 // sendBack sets the time at which the caller of a refused call should return, by the objective of its route.
@@ -74,14 +86,7 @@
 	if ref == nil || ref.RetryAfter == 0 || ref.Outcome != refuser.NotRun || ref.Reason == refuser.RateLimited {
 		return ref
 	}
-	cause := retrier.Capacity
-	switch ref.Reason {
-	case refuser.Declined, refuser.Draining:
-		cause = retrier.OneWorker
-	case refuser.NotReady, refuser.NoUpstream:
-		cause = retrier.Recovery
-	}
-	ref.RetryAfter = retrier.Pause(cause, c.route.ObjectiveLatency, 0, rand.Float64())
+	ref.RetryAfter = retrier.Pause(causeOf(ref.Reason), c.route.ObjectiveLatency, 0, rand.Float64())
 	return ref
 }
 
--- a/internal/forwarder/claim.go
+++ b/internal/forwarder/claim.go
@@ -83,7 +83,7 @@
 	})
 	if err != nil {
 		f.giveUp(key, attempt, c)
-		return nil, sendAway(refuser.NotReady, "the Idempotency-Key can't be recorded now", retrier.Capacity)
+		return nil, sendAway(refuser.NotReady, "the Idempotency-Key can't be recorded now")
 	}
 	switch reply.GetState() {
 	case schema.ClaimState_CLAIM_STATE_GRANTED:
--- a/internal/forwarder/dispatch.go
+++ b/internal/forwarder/dispatch.go
@@ -68,11 +68,11 @@
 }
 
 func overloaded() *refuser.Refusal {
-	return sendAway(refuser.Overloaded, "no capacity for a request of this priority", retrier.Capacity)
+	return sendAway(refuser.Overloaded, "no capacity for a request of this priority")
 }
 
 func noUpstream() *refuser.Refusal {
-	return sendAway(refuser.NoUpstream, "no upstream of the service is ready", retrier.Recovery)
+	return sendAway(refuser.NoUpstream, "no upstream of the service is ready")
 }
 
 func (f *Forwarder) pick(c *call, tried []*router.Target) *router.Target {
--- a/internal/forwarder/forwarder.go
+++ b/internal/forwarder/forwarder.go
@@ -129,6 +129,7 @@
 		staleness: resolver.StalenessBound, decisions: logger.NewDecisions(parts.Log),
 	}
 	f.meters = newMeters(parts.Registry)
+	parts.Registry.GetOrRegister("log.leftOut", metrics.NewFunctionalGauge(f.decisions.Dropped))
 	for _, opt := range opts {
 		opt(f)
 	}
--- a/internal/forwarder/upstream.go
+++ b/internal/forwarder/upstream.go
@@ -11,7 +11,6 @@
 	"github.com/lavenderhub/lavenderhub/internal/announcer"
 	"github.com/lavenderhub/lavenderhub/internal/asserter"
 	"github.com/lavenderhub/lavenderhub/internal/refuser"
-	"github.com/lavenderhub/lavenderhub/internal/retrier"
 )
 
 // scheduleMargin is the time for a goroutine to be scheduled between the check of a certificate and the send.
@@ -79,7 +78,7 @@
 	case admitter.Late:
 		return refuser.New(refuser.NotRun, refuser.DeadlineExceeded, "the request can't finish by its deadline")
 	case admitter.Draining:
-		return sendAway(refuser.Draining, "the upstream takes no new work", retrier.OneWorker)
+		return sendAway(refuser.Draining, "the upstream takes no new work")
 	case admitter.Canceled:
 		return refuser.New(refuser.NotRun, refuser.CallerLeft, "the caller went away")
 	default:
@@ -121,7 +120,7 @@
 
 // declined is the refusal for a request that the upstream itself did not take.
 func declined() *refuser.Refusal {
-	return sendAway(refuser.Declined, "the upstream did not take the request", retrier.OneWorker)
+	return sendAway(refuser.Declined, "the upstream did not take the request")
 }
 
 func (f *Forwarder) upstreamRequest(ctx context.Context, c *call, up *announcer.Upstream, handle string) (*http.Request, error) {
--- a/internal/retrier/terms.go
+++ b/internal/retrier/terms.go
@@ -1,12 +1,9 @@
 package retrier
 
-import "time"
-
 // Terms bound the repeats that a service may get from the whole fleet in any window: a share of its requests and a slack.
 type Terms struct {
-	Share  float64
-	Slack  float64
-	Window time.Duration
+	Share float64
+	Slack float64
 }
 
 const (
--- a/internal/runner/platform_test.go
+++ b/internal/runner/platform_test.go
@@ -14,8 +14,10 @@
 	"time"
 
 	"go.uber.org/zap"
+	"go.uber.org/zap/zapcore"
 	"google.golang.org/protobuf/types/known/durationpb"
 
+	"github.com/lavenderhub/lavenderhub/internal/logger"
 	"github.com/lavenderhub/lavenderhub/schema"
 )
 
@@ -27,6 +29,7 @@
 	seeds    []string
 	workers  []*platformWorker
 	version  int
+	log      *zap.Logger
 }
 
 // platformWorker is a stand-in upstream that answers each request as its path says, on raw connections.
@@ -39,6 +42,8 @@
 	mu   sync.Mutex
 	seen []*http.Request
 	runs map[string]int
+	// rests holds the bodies that came after early answers.
+	rests []string
 }
 
 func (w *platformWorker) serve() {
@@ -59,6 +64,10 @@
 		if err != nil {
 			return
 		}
+		if strings.HasSuffix(r.URL.Path, "/early") {
+			w.answerEarly(c, r)
+			continue
+		}
 		body, err := io.ReadAll(r.Body)
 		if err != nil || !w.answer(c, r, body) {
 			return
@@ -66,6 +75,17 @@
 	}
 }
 
+// answerEarly rejects a request before it has read the body, and reads on afterwards.
+func (w *platformWorker) answerEarly(c net.Conn, r *http.Request) {
+	fmt.Fprintf(c, "HTTP/1.1 422 Unprocessable Entity\r\nX-Attempt-Id: %s\r\nX-Server-Stamp: stamp-%s\r\nContent-Length: 5\r\n\r\nearly",
+		r.Header.Get("X-Attempt-Id"), w.instance)
+	// A connection that ends within the body is allowed; other bytes in its place are not.
+	rest, _ := io.ReadAll(r.Body)
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.rests = append(w.rests, string(rest))
+}
+
 // answer writes the answer that the last segment of the path asks for. It reports whether the connection goes on.
 func (w *platformWorker) answer(c net.Conn, r *http.Request, body []byte) bool {
 	id := r.Header.Get("X-Attempt-Id")
@@ -126,9 +146,12 @@
 	return w.runs[id]
 }
 
-func startPlatformFleet(t *testing.T) *platformFleet {
+func startPlatformFleet(t *testing.T, opts ...func(*platformFleet)) *platformFleet {
 	t.Helper()
-	f := &platformFleet{t: t}
+	f := &platformFleet{t: t, log: zap.NewNop()}
+	for _, opt := range opts {
+		opt(f)
+	}
 	p := &ports{}
 	take := func() string {
 		addr, err := p.take()
@@ -167,7 +190,7 @@
 
 func (f *platformFleet) start(cfg *schema.Settings) *Process {
 	f.t.Helper()
-	p, err := Start(cfg, zap.NewNop())
+	p, err := Start(cfg, f.log)
 	if err != nil {
 		f.t.Fatal(err)
 	}
@@ -243,9 +266,9 @@
 }
 
 // serving starts a fleet whose configuration and workers are in force at both nodes.
-func serving(t *testing.T) *platformFleet {
+func serving(t *testing.T, opts ...func(*platformFleet)) *platformFleet {
 	t.Helper()
-	f := startPlatformFleet(t)
+	f := startPlatformFleet(t, opts...)
 	f.configure()
 	for i := range f.workers {
 		eventually(t, "a heartbeat is taken", func() bool { return f.heartbeat(i, "ready", 1) == http.StatusOK })
@@ -421,3 +444,118 @@
 		t.Errorf("status %d after the upstream left", got.status)
 	}
 }
+
+// An upstream that answers before it has read a long body is passed on as it is, and gets no other bytes in the body's
+// place; the next request is served.
+func TestPlatformEarlyAnswer(t *testing.T) {
+	f := serving(t)
+	body := strings.Repeat("deposit ", 64<<10)
+	for node := range f.nodes {
+		got := f.send(node, http.MethodPost, "/one/early", "key-a", fmt.Sprintf("early-%d", node), body)
+		if got.err != nil || got.status != http.StatusUnprocessableEntity || got.body != "early" {
+			t.Fatalf("node %d: status %d, body %q, %v", node, got.status, got.body, got.err)
+		}
+		if got = f.send(node, http.MethodPost, "/one/a", "key-a", fmt.Sprintf("after-%d", node), "x"); got.status != http.StatusOK {
+			t.Errorf("node %d: status %d after an early answer", node, got.status)
+		}
+	}
+	f.workers[1].mu.Lock()
+	defer f.workers[1].mu.Unlock()
+	for _, rest := range f.workers[1].rests {
+		if !strings.HasPrefix(body, rest) {
+			t.Errorf("%d other bytes in the body's place", len(rest))
+		}
+	}
+}
+
+// A caller that reads slowly gets the whole answer in the end, and holds up nobody else.
+func TestPlatformSlowReader(t *testing.T) {
+	f := serving(t)
+	conn, err := net.Dial("tcp", f.nodes[0].node.CallerAddr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = conn.Close() }()
+	_, err = io.WriteString(conn, "GET /one/large HTTP/1.1\r\nHost: a.example\r\nX-Attempt-Id: slow\r\nX-Deadline-Ms: 4000\r\n"+
+		"Authorization: Bearer key-a\r\n\r\n")
+	if err != nil {
+		t.Fatal(err)
+	}
+	r := bufio.NewReaderSize(conn, 1024)
+	resp, err := http.ReadResponse(r, nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	for i := range 10 {
+		if got := f.send(0, http.MethodGet, "/one/a", "key-a", fmt.Sprintf("beside-%d", i), ""); got.status != http.StatusOK {
+			t.Errorf("status %d beside a slow reader", got.status)
+		}
+		if _, err := io.CopyN(io.Discard, resp.Body, 10<<10); err != nil {
+			t.Fatal(err)
+		}
+	}
+	rest, err := io.ReadAll(resp.Body)
+	if err != nil || len(rest) != 1<<20-100<<10 {
+		t.Errorf("%d bytes more, %v", len(rest), err)
+	}
+}
+
+// lockedBuffer is a buffer that several loggers write to.
+type lockedBuffer struct {
+	mu  sync.Mutex
+	buf bytes.Buffer
+}
+
+// Write appends to the buffer.
+func (b *lockedBuffer) Write(p []byte) (int, error) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.buf.Write(p)
+}
+
+// line returns the line of an event that names an id, or nothing.
+func (b *lockedBuffer) line(event, id string) string {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	for line := range strings.Lines(b.buf.String()) {
+		if strings.Contains(line, "event="+event+" ") && strings.Contains(line, " id="+id+" ") {
+			return line
+		}
+	}
+	return ""
+}
+
+// Each failed request leaves a line with its id, what decided it, how old that was, and the outcome.
+func TestPlatformExplains(t *testing.T) {
+	out := &lockedBuffer{}
+	f := serving(t, func(f *platformFleet) { f.log = logger.New(out, zapcore.InfoLevel) })
+	over := ""
+	for i := range 20 {
+		id := fmt.Sprintf("over-%d", i)
+		if f.send(0, http.MethodGet, "/zero/a", "key-t", id, "").status == http.StatusTooManyRequests {
+			over = id
+		}
+	}
+	f.send(0, http.MethodPost, "/one/silent", "key-a", "silent", "x")
+	f.send(0, http.MethodPost, "/one/failed", "key-a", "failed", "x")
+	tests := []struct {
+		event, id string
+		want      []string
+	}{
+		{"requestEnded", over, []string{
+			"outcome=notRun", "reason=rateLimited", "account=tiny", "rate=1", "tokens=", "fleetDemand=", "grantAge=", "revision=",
+			"certificateAge=",
+		}},
+		{"requestEnded", "silent", []string{"outcome=unknown", "reason=deadlineExceeded", "tried=side-1", "took=", "revision="}},
+		{"attemptFailed", "silent", []string{"worker=side-1", "idempotent=false", "took="}},
+		{"requestEnded", "failed", []string{"outcome=whole", "status=500", "tried=side-1", "rank=", "level="}},
+	}
+	for _, tt := range tests {
+		line := out.line(tt.event, tt.id)
+		for _, want := range tt.want {
+			if !strings.Contains(line, want) {
+				t.Errorf("%s of %q lacks %s: %q", tt.event, tt.id, want, line)
+			}
+		}
+	}
+}
