Bound retries by the share of repeats that gates report

Calls whose answer was lost were not tried again (44 of 44 at sound between 18 s and 26 s), and each cost a whole request, also ones that can't be sent again.

Ruled out: the budget of the root call (calls without a parent have their own) and the account's ratio (nested calls have none).

Change: each gate counts which part of its requests are repeats, directly or by the chance that the run that made them was one; answers carry the highest share along the chain up; callers retry while it is below two thirds of the terms. A ratio to successes bounds them while no news has come. The counts of calls further down are gone.

--- a/internal/forwarder/answer.go
+++ b/internal/forwarder/answer.go
@@ -22,9 +22,9 @@
 	final bool
 	// shed tells that the failure is one of capacity below.
 	shed bool
-	// calls is the mean number of calls that a run of the service makes further down.
-	calls    float64
-	hasCalls bool
+	// repeats is the highest share of repeats among the service and those that it calls.
+	repeats    float64
+	hasRepeats bool
 }
 
 // Values of the header that keeps the hop above from retrying.
@@ -39,8 +39,8 @@
 	if p.hasSpent {
 		h.Set(headerSpent, strconv.FormatUint(uint64(p.spent), 10))
 	}
-	if p.hasCalls {
-		h.Set(headerCalls, strconv.FormatFloat(p.calls, 'f', 2, 64))
+	if p.hasRepeats {
+		h.Set(headerRepeats, strconv.FormatFloat(p.repeats, 'f', 4, 64))
 	}
 	switch {
 	case p.shed:
@@ -61,8 +61,8 @@
 	if n, err := strconv.ParseUint(h.Get(headerSpent), 10, 31); err == nil {
 		p.spent, p.hasSpent = uint32(n), true
 	}
-	if x, err := strconv.ParseFloat(h.Get(headerCalls), 64); err == nil && x >= 0 {
-		p.calls, p.hasCalls = x, true
+	if x, err := strconv.ParseFloat(h.Get(headerRepeats), 64); err == nil && x >= 0 {
+		p.repeats, p.hasRepeats = x, true
 	}
 	p.final = h.Get(headerFinal) != ""
 	p.shed = h.Get(headerFinal) == finalShed
--- a/internal/forwarder/attempt.go
+++ b/internal/forwarder/attempt.go
@@ -78,8 +78,11 @@
 	now := f.Timer.Now()
 	c.tried = append(c.tried, t.Node)
 	f.levels.Learn(c.route.Service, c.route.Name, t.Node, p.level, now)
-	if p.hasCalls {
-		f.calls.Learn(c.route.Service, p.calls)
+	if p.hasRepeats {
+		f.seen.Learn(c.route.Service, p.repeats, now)
+	}
+	if p.hasRepeats && c.near {
+		f.below.Learn(c.route.Service, p.repeats, now)
 	}
 	t.Finish(router.Result{
 		Latency: now.Sub(began),
@@ -225,6 +228,7 @@
 		Host:            c.host,
 		Instance:        t.Instance(),
 		PatienceMicros:  uint64(c.patience.Microseconds()),
+		Repeat:          c.repeat,
 	}, id, secret)
 }
 
--- a/internal/forwarder/call.go
+++ b/internal/forwarder/call.go
@@ -37,6 +37,10 @@
 	tried []string
 	// rerouted is set once a worker refused the call.
 	rerouted bool
+	// repeat is the chance that the call is a repeat, or was made by a run that is one.
+	repeat float64
+	// near tells that the own upstream makes the call.
+	near bool
 	// ran is set once a byte may have reached an upstream.
 	ran bool
 }
--- a/internal/forwarder/caller.go
+++ b/internal/forwarder/caller.go
@@ -38,7 +38,8 @@
 	}
 	c.deadline = began.Add(c.timeout)
 	if who.terms == nil && req.Near {
-		f.ownCalls.Called(f.calls.Cost(route.Service))
+		// Which run of the own upstream makes the call is not known.
+		c.near, c.repeat = true, f.repeatsOf(f.service).Chance(began)
 	}
 	ctx, cancel := context.WithDeadline(ctx, c.deadline)
 	a, ref := f.admitRoot(ctx, req.ClaimKey, who, &c.call)
--- a/internal/forwarder/dispatch.go
+++ b/internal/forwarder/dispatch.go
@@ -51,6 +51,9 @@
 		if a != nil {
 			a.close()
 		}
+		if done.retries > 0 {
+			c.repeat = 1
+		}
 		t = next
 	}
 }
@@ -145,7 +148,7 @@
 // repeatOf returns what grants a retry while an attempt is still open, or nil for calls that may not run again or have no
 // other worker.
 func (f *Forwarder) repeatOf(c *call, done *attempts) func() bool {
-	if f.retryTerms == nil || !c.idempotent || f.pick(c, done.tried) == nil {
+	if !f.boundsRepeats || !c.idempotent || f.pick(c, done.tried) == nil {
 		return nil
 	}
 	// The grant is asked for by a timer, beside the dispatch that goes on with the list.
@@ -155,20 +158,24 @@
 	}
 }
 
-// takeRetry holds the retries of a client account and of a service to their ratios.
+// takeRetry holds the retries of a client account and of a service to their ratios, and stops them while the service, or
+// one that it calls, gets as many repeats as it may.
 func (f *Forwarder) takeRetry(c *call) bool {
-	service, allowed, cost := "service/"+c.route.Service, f.allowance(), f.calls.Cost(c.route.Service)
+	if f.seen.Of(c.route.Service, f.Timer.Now()) >= f.retryTerms.Target() {
+		return false
+	}
+	service, allowed := "service/"+c.route.Service, f.allowance()
 	if c.account == "" {
-		return f.ratios.Take(service, allowed, cost)
+		return f.ratios.Take(service, allowed)
 	}
-	return f.ratios.TakeBoth("account/"+c.account, service, allowed, cost)
+	return f.ratios.TakeBoth("account/"+c.account, service, allowed)
 }
 
 // allowance returns how many retries a name may have at this node.
 func (f *Forwarder) allowance() retrier.Allowance {
 	a := retrier.DefaultAllowance()
-	if f.retryTerms != nil {
-		a = retrier.AllowanceOf(*f.retryTerms, f.Control.Nodes())
+	if f.boundsRepeats {
+		a = retrier.AllowanceOf(f.retryTerms, f.Control.Nodes())
 	}
 	return a
 }
@@ -219,3 +226,8 @@
 	f.ratios.Of("account/"+c.account, allowed).Succeed(allowed)
 	f.ratios.Of("service/"+c.route.Service, allowed).Succeed(allowed)
 }
+
+// repeatsOf returns the measure of the repeats that reach the own upstream of a service.
+func (f *Forwarder) repeatsOf(service string) *retrier.Repeats {
+	return f.repeats.Of(service, f.retryTerms.Window)
+}
--- a/internal/forwarder/forwarder.go
+++ b/internal/forwarder/forwarder.go
@@ -84,11 +84,14 @@
 	service   string
 	staleness time.Duration
 	decisions *logger.Decisions
-	// calls is what a run of each service calls further down.
-	calls      retrier.Calls
-	ownCalls   retrier.OwnCalls
-	retryTerms *retrier.Terms
-	latencies  retrier.Latencies
+	// repeats is measured at the own upstream, seen is reported by answers, and below by answers to the own upstream's calls.
+	repeats    retrier.RepeatsByService
+	seen       retrier.Seen
+	below      retrier.Seen
+	retryTerms retrier.Terms
+	// boundsRepeats tells that the settings give retryTerms.
+	boundsRepeats bool
+	latencies     retrier.Latencies
 }
 
 // Controls switches decisions off, for baselines in measurements.
@@ -114,7 +117,7 @@
 
 // WithRetryTerms bounds the repeats that each service may get from the whole fleet.
 func WithRetryTerms(t retrier.Terms) Option {
-	return func(f *Forwarder) { f.retryTerms = &t }
+	return func(f *Forwarder) { f.retryTerms, f.boundsRepeats = t, true }
 }
 
 // WithControls switches decisions off.
@@ -126,7 +129,7 @@
 func New(parts Parts, opts ...Option) *Forwarder {
 	f := &Forwarder{
 		Parts: parts, bodyLimit: DefaultBodyLimit, resends: retrier.NewResends(), dialect: ownDialect(),
-		staleness: resolver.StalenessBound, decisions: logger.NewDecisions(parts.Log),
+		staleness: resolver.StalenessBound, retryTerms: retrier.DefaultTerms(), decisions: logger.NewDecisions(parts.Log),
 	}
 	f.meters = newMeters(parts.Registry)
 	parts.Registry.GetOrRegister("log.leftOut", metrics.NewFunctionalGauge(f.decisions.Dropped))
--- a/internal/forwarder/headers.go
+++ b/internal/forwarder/headers.go
@@ -23,7 +23,7 @@
 	headerLoad     = "Lavenderhub-Load"
 	headerSpent    = "Lavenderhub-Spent"
 	headerFinal    = "Lavenderhub-Final"
-	headerCalls    = "Lavenderhub-Calls"
+	headerRepeats  = "Lavenderhub-Repeats"
 	headerClaim    = "Idempotency-Key"
 	headerWindow   = "Lavenderhub-Idempotency-Window"
 )
--- a/internal/forwarder/nested.go
+++ b/internal/forwarder/nested.go
@@ -23,7 +23,6 @@
 		stop()
 		cancel()
 	}
-	f.ownCalls.Called(f.calls.Cost(c.route.Service))
 	parent.begin(f.Timer.Now())
 	a, ref := f.dispatchOnce(ctx, req.ClaimKey, c)
 	failed := isFailure(a, ref)
@@ -65,6 +64,8 @@
 		budget:     parent.budget,
 		idempotent: isIdempotent(req.Method, route),
 		depth:      parent.depth + 1,
+		near:       true,
+		repeat:     parent.repeat,
 		patience:   route.ObjectiveLatency / slotPatienceShare,
 	}
 	if ref := readRequest(req, c, ""); ref != nil {
--- a/internal/forwarder/peer.go
+++ b/internal/forwarder/peer.go
@@ -98,5 +98,6 @@
 		origin:     token.GetOrigin(),
 		host:       token.GetHost(),
 		patience:   time.Duration(token.GetPatienceMicros()) * time.Microsecond,
+		repeat:     token.GetRepeat(),
 	}, nil
 }
--- a/internal/forwarder/upstream.go
+++ b/internal/forwarder/upstream.go
@@ -90,7 +90,7 @@
 	g := up.Gate.Report()
 	return report{
 		level: max(uint32(g.Level), nested.level), load: g.Load, spent: c.budget.Spent(), hasSpent: true,
-		calls: f.ownCalls.Mean(), hasCalls: true,
+		repeats: max(f.repeatsOf(up.Service).Share(f.Timer.Now()), f.below.Highest(f.Timer.Now())), hasRepeats: true,
 	}
 }
 
@@ -101,6 +101,9 @@
 		return nil, Verdict{}, err
 	}
 	resp, x, err := up.Pool.Do(req, !c.idempotent)
+	if x.Sent {
+		f.repeatsOf(up.Service).Count(c.repeat, f.Timer.Now())
+	}
 	if err != nil {
 		c.ran = x.Sent
 		return nil, Verdict{}, err
@@ -113,7 +116,6 @@
 		return nil, verdict, nil
 	}
 	c.ran = true
-	f.ownCalls.Ran()
 	a, err := readAnswer(resp, f.dialect.TakesUnframed)
 	return a, verdict, err
 }
--- a/internal/retrier/ratio.go
+++ b/internal/retrier/ratio.go
@@ -35,23 +35,23 @@
 	r.saved = min(a.Burst, r.saved+a.Share)
 }
 
-// take uses retries up to a cost. The last of them may be used in advance, so that a costly retry is only rare.
-func (r *Ratio) take(a Allowance, cost float64) bool {
+// take uses one retry.
+func (r *Ratio) take(a Allowance) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.saved = min(a.Burst, r.saved)
 	if r.saved < 1 {
 		return false
 	}
-	r.saved -= cost
+	r.saved--
 	return true
 }
 
 // giveBack undoes a take.
-func (r *Ratio) giveBack(cost float64) {
+func (r *Ratio) giveBack() {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.saved += cost
+	r.saved++
 }
 
 // Ratios holds one Ratio for each name. It is safe for concurrent use.
@@ -64,21 +64,20 @@
 	return r.of(name, func() *Ratio { return &Ratio{saved: a.Burst} })
 }
 
-// Take uses retries up to a cost of a name.
-func (r *Ratios) Take(name string, a Allowance, cost float64) bool {
-	return r.Of(name, a).take(a, cost)
+// Take uses one retry of a name.
+func (r *Ratios) Take(name string, a Allowance) bool {
+	return r.Of(name, a).take(a)
 }
 
-// TakeBoth uses retries up to a cost of each of two names, or of neither. The cost of a retry is one, and one more for
-// each call that it makes again further down.
-func (r *Ratios) TakeBoth(x, y string, a Allowance, cost float64) bool {
+// TakeBoth uses one retry of each of two names, or of neither.
+func (r *Ratios) TakeBoth(x, y string, a Allowance) bool {
 	first := r.Of(x, a)
-	if !first.take(a, cost) {
+	if !first.take(a) {
 		return false
 	}
-	if r.Of(y, a).take(a, cost) {
+	if r.Of(y, a).take(a) {
 		return true
 	}
-	first.giveBack(cost)
+	first.giveBack()
 	return false
 }
--- a/internal/runner/node.go
+++ b/internal/runner/node.go
@@ -190,7 +190,7 @@
 	}
 	if t := n.Terms; t.GetRetryWindow() != nil {
 		opts = append(opts, forwarder.WithRetryTerms(retrier.Terms{
-			Share: t.GetRetryShare(), Slack: float64(t.GetRetrySlack()),
+			Share: t.GetRetryShare(), Slack: float64(t.GetRetrySlack()), Window: t.GetRetryWindow().AsDuration(),
 		}))
 	}
 	opts = append(opts, n.face.forwarderOptions()...)
