Keep workers of silent nodes as a last resort

Cause: nodes that are cut off from the control hosts only were taken out of the membership after 2.5 s, though other nodes still reached them.

Ruled out: the gates (the cut nodes ran calls until they were left out) and the certificates (nested calls carry no key).

Change: the leader marks the workers of a silent node suspect for 20 s, and routers turn to them only when no worker of the service is ready. The gate beside an upstream stays the authority on whether it takes work.

--- a/internal/controller/leadership.go
+++ b/internal/controller/leadership.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"go.uber.org/zap"
+	"google.golang.org/protobuf/proto"
 
 	"github.com/lavenderhub/lavenderhub/internal/applier"
 	"github.com/lavenderhub/lavenderhub/internal/authenticator"
@@ -17,8 +18,10 @@
 )
 
 const (
-	// nodeLifetime is the silence after which a node's workers are taken off.
-	nodeLifetime = 2500 * time.Millisecond
+	// nodeLifetime is the silence after which a node's workers are suspect, and suspectLifetime the one after which they are
+	// taken off.
+	nodeLifetime    = 2500 * time.Millisecond
+	suspectLifetime = 20 * time.Second
 	// gatherTime is how long a new leader waits for the nodes' states before it says that workers are gone.
 	gatherTime = 3 * time.Second
 )
@@ -29,10 +32,12 @@
 // leadership is the state that only the leader keeps, from the start of its term. Nodes and other replicas can give
 // all of it again.
 type leadership struct {
-	term     uint64
-	began    time.Time
-	owner    *limiter.Owner
-	nodes    map[string]*nodeState
+	term  uint64
+	began time.Time
+	owner *limiter.Owner
+	nodes map[string]*nodeState
+	// silent is the number of nodes that are.
+	silent   int
 	services map[string]*serviceState
 	holders  holders
 	// carryNoted tells that the end of what earlier leaders granted is noted in the log, or on its way there.
@@ -46,6 +51,8 @@
 	seen        time.Time
 	revision    uint64
 	admin       string
+	// silent tells that the node's workers are suspect.
+	silent bool
 }
 
 // serviceState is the membership of one service.
@@ -132,12 +139,16 @@
 	}
 	c.upkeep = now.Add(upkeepInterval)
 	for name, n := range c.leading.nodes {
-		if now.Sub(n.seen) > nodeLifetime {
-			c.log.Info("nodeSilent", zap.String("node", name))
+		switch silence := now.Sub(n.seen); {
+		case silence > suspectLifetime:
+			c.log.Info("nodeLost", zap.String("node", name))
 			c.leading.removeNode(name)
+		case silence > nodeLifetime && !n.silent:
+			c.log.Info("nodeSilent", zap.String("node", name))
+			c.leading.suspect(n)
 		}
 	}
-	c.meter.nodes.Update(int64(len(c.leading.nodes)))
+	c.meter.nodes.Update(int64(c.leading.live()))
 	c.adjustHolders(now)
 	c.noteCarry(now)
 	c.adjustReplicas(now)
@@ -181,6 +192,7 @@
 		l.nodes[req.GetNode()] = n
 	}
 	n.seen, n.revision, n.admin = now, req.GetHaveRevision(), req.GetAdminAddress()
+	l.setSilent(n, false)
 	if resolver.Fingerprint(n.workers) != resolver.Fingerprint(req.GetWorkers()) {
 		l.removeWorkers(n)
 		n.workers = req.GetWorkers()
@@ -211,8 +223,43 @@
 	}
 }
 
+// suspect marks the workers of a node that went silent. It may be the way to the control hosts that is cut: other nodes may
+// still reach its workers, whose gates know best whether they take work.
+func (l *leadership) suspect(n *nodeState) {
+	l.removeWorkers(n)
+	var workers []*schema.Worker
+	for _, w := range n.workers {
+		if w.GetState() == schema.UpstreamState_UPSTREAM_STATE_READY {
+			w = proto.Clone(w).(*schema.Worker)
+			w.State = schema.UpstreamState_UPSTREAM_STATE_SUSPECT
+			workers = append(workers, w)
+		}
+	}
+	n.workers = workers
+	l.addWorkers(n)
+	l.setSilent(n, true)
+}
+
+func (l *leadership) setSilent(n *nodeState, silent bool) {
+	if n.silent == silent {
+		return
+	}
+	n.silent = silent
+	if silent {
+		l.silent++
+	} else {
+		l.silent--
+	}
+}
+
+// live returns the number of nodes that were heard of lately.
+func (l *leadership) live() int {
+	return len(l.nodes) - l.silent
+}
+
 func (l *leadership) removeNode(name string) {
 	if n := l.nodes[name]; n != nil {
+		l.setSilent(n, false)
 		l.removeWorkers(n)
 		delete(l.nodes, name)
 	}
--- a/internal/controller/sync.go
+++ b/internal/controller/sync.go
@@ -77,11 +77,11 @@
 		l.noteNode(req, now)
 		l.holders.hear(req.GetNode(), now)
 	}
-	reply.ExchangeRate = min(maxExchangeRate, max(minExchangeRate, fleetExchangeRate/float64(max(1, len(l.nodes)))))
-	interval := min(maxInterval, max(minInterval, maxInterval*time.Duration(len(l.nodes))/fullIntervalNodes))
+	reply.ExchangeRate = min(maxExchangeRate, max(minExchangeRate, fleetExchangeRate/float64(max(1, l.live()))))
+	interval := min(maxInterval, max(minInterval, maxInterval*time.Duration(l.live())/fullIntervalNodes))
 	reply.IntervalMicros = uint64(interval.Microseconds())
 	reply.MembershipComplete = l.isComplete(now)
-	reply.Nodes = uint32(len(l.nodes))
+	reply.Nodes = uint32(l.live())
 	for _, w := range req.GetWatches() {
 		s := l.services[w.GetService()]
 		if s == nil {
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -200,11 +200,22 @@
 	return best
 }
 
+// candidates returns the workers that may serve a call: the ready ones, or those of silent nodes when there is no other.
 func (r *Router) candidates(service string, tried []*Target, now time.Time) []*Target {
+	all := r.targets(service)
+	isReady := func(t *Target) bool { return t.ready.Load() }
+	if slices.ContainsFunc(all, isReady) {
+		return usable(all, tried, now, isReady)
+	}
+	return usable(all, tried, now, func(t *Target) bool { return t.suspect.Load() })
+}
+
+// usable returns the workers of a state that are neither tried nor ejected. When too few are left, ejections are ignored.
+func usable(all, tried []*Target, now time.Time, isUsable func(*Target) bool) []*Target {
 	var healthy, ready []*Target
 	total := 0
-	for _, t := range r.targets(service) {
-		if !t.ready.Load() {
+	for _, t := range all {
+		if !isUsable(t) {
 			continue
 		}
 		total++
--- a/internal/router/router_test.go
+++ b/internal/router/router_test.go
@@ -121,3 +121,29 @@
 		}
 	}
 }
+
+// Workers of nodes that went silent serve calls only while no other worker is ready.
+func TestPickSuspectsLast(t *testing.T) {
+	now := time.Unix(1000, 0)
+	r := fourWorkers(20)
+	set := func(states ...schema.UpstreamState) {
+		var list []*schema.Worker
+		for i, state := range states {
+			w := worker(fmt.Sprintf("n%c", 'a'+i), string(rune('a'+i)), 20)
+			w.State = state
+			list = append(list, w)
+		}
+		r.Set("s", list)
+	}
+	const ready, suspect = schema.UpstreamState_UPSTREAM_STATE_READY, schema.UpstreamState_UPSTREAM_STATE_SUSPECT
+	set(suspect, suspect, ready)
+	for range 50 {
+		if got := r.Pick("s", nil, true, now); got == nil || got.Node != "nc" {
+			t.Fatalf("picked %v beside a ready worker", got)
+		}
+	}
+	set(suspect, schema.UpstreamState_UPSTREAM_STATE_DRAINING)
+	if got := r.Pick("s", nil, true, now); got == nil || got.Node != "na" {
+		t.Errorf("picked %v, want the worker of the silent node", got)
+	}
+}
--- a/internal/router/target.go
+++ b/internal/router/target.go
@@ -39,6 +39,7 @@
 
 	slots    atomic.Uint32
 	ready    atomic.Bool
+	suspect  atomic.Bool
 	inflight atomic.Int32
 	instance atomic.Pointer[string]
 
@@ -68,6 +69,7 @@
 func (t *Target) update(w *schema.Worker) {
 	t.slots.Store(w.GetSlots())
 	t.ready.Store(w.GetState() == schema.UpstreamState_UPSTREAM_STATE_READY)
+	t.suspect.Store(w.GetState() == schema.UpstreamState_UPSTREAM_STATE_SUSPECT)
 	instance := w.GetInstance()
 	t.instance.Store(&instance)
 }
