--- a/internal/retrier/pause.go
+++ b/internal/retrier/pause.go
@@ -34,8 +34,7 @@
 
 // Pause returns when a caller that was refused before its request ran should return: while an answer can still meet its
 // objective, but no sooner than there is room, when that time is known. It answers a crowd of callers that are refused
-// at the same moment: a draw from [0, 1) spreads them over as long again as they wait, or over half of that after a loss of
-// power, when they were refused over as long a time.
+// at the same moment: a draw from [0, 1) spreads them over as long again as they wait.
 func Pause(cause Cause, objective, known time.Duration, draw float64) time.Duration {
 	if objective <= 0 {
 		objective = usualObjective
@@ -47,7 +46,6 @@
 	wait = max(known, leastPause, min(mostPause, wait))
 	if cause == Recovery {
 		wait = max(wait, recoveryPause)
-		return wait + time.Duration(draw*float64(wait)/2)
 	}
 	return wait + time.Duration(draw*float64(wait))
 }
