Send fewer calls to workers that break off or decline a part of them

Ruled out: the fleet's bound on repeats (0.01 of 0.13 used), the ejection after five failures in a row (at four in ten one in a hundred times).

Change: the share of calls that a worker failed or declined raises its cost, and is forgotten as its latency is.

--- a/internal/forwarder/attempt.go
+++ b/internal/forwarder/attempt.go
@@ -85,11 +85,12 @@
 		f.below.Learn(c.route.Service, p.repeats, now)
 	}
 	t.Finish(router.Result{
-		Latency: now.Sub(began),
-		Failed:  silent || isWorkerFault(ref),
-		Refused: ref != nil && ref.Outcome == refuser.NotRun,
-		Load:    p.load,
-		HasLoad: !silent,
+		Latency:  now.Sub(began),
+		Failed:   silent || isWorkerFault(ref),
+		Refused:  ref != nil && ref.Outcome == refuser.NotRun,
+		Declined: ref != nil && ref.Reason == refuser.Declined,
+		Load:     p.load,
+		HasLoad:  !silent,
 	}, now)
 	return a, ref
 }
--- a/internal/router/router_test.go
+++ b/internal/router/router_test.go
@@ -147,3 +147,38 @@
 		t.Errorf("picked %v, want the worker of the silent node", got)
 	}
 }
+
+// The near worker breaks off four of ten answers, as fast as it serves the others: most calls go elsewhere, and come back
+// once it is well.
+func TestPickAvoidsFaultyWorker(t *testing.T) {
+	r := fourWorkers(20)
+	random := rand.New(rand.NewPCG(3, 4))
+	now := time.Unix(1000, 0)
+	share := func(faults float64, result Result) float64 {
+		const calls = 4000
+		near := 0
+		for range calls {
+			target := r.Pick("s", nil, true, now)
+			target.Start()
+			now = now.Add(5 * time.Millisecond)
+			res := Result{Latency: 40 * time.Millisecond, HasLoad: true}
+			if target.Node == "na" {
+				near++
+				if random.Float64() < faults {
+					res = result
+				}
+			}
+			target.Finish(res, now)
+		}
+		return float64(near) / calls
+	}
+	if got := share(0.4, Result{Failed: true, HasLoad: true}); got > 0.2 {
+		t.Errorf("%.2f of the calls went to the worker that breaks answers off, want 0.2 at most", got)
+	}
+	if got := share(0, Result{}); got < 0.7 {
+		t.Errorf("%.2f of the calls went to the near worker once it was well, want 0.7 at least", got)
+	}
+	if got := share(0.4, Result{Refused: true, Declined: true, HasLoad: true}); got > 0.2 {
+		t.Errorf("%.2f of the calls went to the worker that declines them, want 0.2 at most", got)
+	}
+}
--- a/internal/router/target.go
+++ b/internal/router/target.go
@@ -26,6 +26,8 @@
 	// latencyMemory is the time after which half of a worker's latency is forgotten, so that one that was slow is tried
 	// again.
 	latencyMemory = 4 * time.Second
+	// faultCost is how many usual times a lost call costs: its caller sends it again, or a whole chain above it fails.
+	faultCost = 8.0
 )
 
 // Target is one worker as this node knows it. It is safe for concurrent use.
@@ -46,6 +48,8 @@
 	mu        sync.Mutex
 	latency   time.Duration
 	measured  time.Time
+	faults    float64
+	faultsAt  time.Time
 	load      float64
 	loadAt    time.Time
 	failures  int
@@ -89,6 +93,8 @@
 	Latency time.Duration
 	// Failed tells that the worker broke, as seen from here.
 	Failed bool
+	// Declined tells that the upstream itself did not take a call that its gate let through.
+	Declined bool
 	// Refused tells that the worker's gate did not run the call.
 	Refused bool
 	// Load is the gate's reported load; it is valid when HasLoad is set.
@@ -104,6 +110,7 @@
 	if r.HasLoad {
 		t.load, t.loadAt = r.Load, now
 	}
+	t.noteFault(r, now)
 	switch {
 	case r.Failed:
 		t.fail(now)
@@ -120,6 +127,26 @@
 	}
 }
 
+// noteFault keeps the share of calls that the worker failed or declined. It answers a worker that fails a part of its work
+// while it seems well: it loses its share of the calls, not all of them.
+func (t *Target) noteFault(r Result, now time.Time) {
+	fault := 0.0
+	if r.Failed || r.Declined {
+		fault = 1
+	} else if r.Refused {
+		return
+	}
+	t.faults = t.agedFaults(now)
+	t.faults += (fault - t.faults) * latencyWeight
+	t.faultsAt = now
+}
+
+// agedFaults returns the share of calls that the worker failed, of which a part is forgotten while there are none.
+func (t *Target) agedFaults(now time.Time) float64 {
+	idle := max(0, now.Sub(t.faultsAt))
+	return t.faults * math.Exp2(-idle.Seconds()/latencyMemory.Seconds())
+}
+
 func (t *Target) fail(now time.Time) {
 	t.failures++
 	if t.failures < ejectAfter || now.Before(t.ejected) {
@@ -166,5 +193,5 @@
 	busy := t.busyness(now)
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	return max(startLatency, t.aged(now)).Seconds() * (1 + busy) * math.Max(1, busy)
+	return max(startLatency, t.aged(now)).Seconds() * (1 + busy) * math.Max(1, busy) * (1 + faultCost*t.agedFaults(now))
 }
