--- a/internal/controller/leadership.go
+++ b/internal/controller/leadership.go
@@ -36,7 +36,7 @@
 	began time.Time
 	owner *limiter.Owner
 	nodes map[string]*nodeState
-	// silent is the number of nodes that are.
+	// silent counts the nodes whose workers are suspect.
 	silent   int
 	services map[string]*serviceState
 	holders  holders
--- a/internal/forwarder/attempt.go
+++ b/internal/forwarder/attempt.go
@@ -79,7 +79,7 @@
 	c.tried = append(c.tried, t.Node)
 	f.levels.Learn(c.route.Service, c.route.Name, t.Node, p.level, now)
 	if p.hasRepeats {
-		f.seen.Learn(c.route.Service, p.repeats, now)
+		f.reported.Learn(c.route.Service, p.repeats, now)
 	}
 	if p.hasRepeats && c.near {
 		f.below.Learn(c.route.Service, p.repeats, now)
--- a/internal/forwarder/dispatch.go
+++ b/internal/forwarder/dispatch.go
@@ -161,7 +161,7 @@
 // takeRetry holds the retries of a client account and of a service to their ratios, and stops them while the service, or
 // one that it calls, gets as many repeats as it may.
 func (f *Forwarder) takeRetry(c *call) bool {
-	if f.seen.Of(c.route.Service, f.Timer.Now()) >= f.retryTerms.Target() {
+	if f.reported.Of(c.route.Service, f.Timer.Now()) >= f.retryTerms.Target() {
 		return false
 	}
 	service, allowed := "service/"+c.route.Service, f.allowance()
--- a/internal/forwarder/forwarder.go
+++ b/internal/forwarder/forwarder.go
@@ -84,10 +84,10 @@
 	service   string
 	staleness time.Duration
 	decisions *logger.Decisions
-	// repeats is measured at the own upstream, seen is reported by answers, and below by answers to the own upstream's calls.
+	// repeats is measured at the own upstream; reported comes with answers, and below with those to the own upstream's calls.
 	repeats    retrier.RepeatsByService
-	seen       retrier.Seen
-	below      retrier.Seen
+	reported   retrier.RepeatReports
+	below      retrier.RepeatReports
 	retryTerms retrier.Terms
 	// boundsRepeats tells that the settings give retryTerms.
 	boundsRepeats bool
--- a/internal/retrier/repeats.go
+++ b/internal/retrier/repeats.go
@@ -13,10 +13,10 @@
 	recentSpans = 2
 	// repeatsPrior is a number of requests that is assumed besides those counted: the first repeat says little.
 	repeatsPrior = 20.0
-	// seenWeight is the weight of a new answer in the share of repeats that a caller reckons with, and seenMemory the time
+	// reportWeight is the weight of a new answer in the share of repeats that a caller reckons with, and reportMemory the time
 	// constant with which such a share is forgotten while no answers come.
-	seenWeight = 0.1
-	seenMemory = 5 * time.Second
+	reportWeight = 0.1
+	reportMemory = 5 * time.Second
 )
 
 // Repeats measures, at an upstream's gate, which part of its requests in the last window are repeats: sent again after a
@@ -90,38 +90,38 @@
 	return r.of(service, func() *Repeats { return NewRepeats(window) })
 }
 
-// Seen keeps the shares of repeats that answers report, each for a service and all that it calls. It is safe for
+// RepeatReports keeps the shares of repeats that answers report, each for a service and all that it calls. It is safe for
 // concurrent use.
-type Seen struct {
+type RepeatReports struct {
 	mu        sync.Mutex
-	byService map[string]seenShare
+	byService map[string]repeatReport
 }
 
-type seenShare struct {
+type repeatReport struct {
 	value float64
 	at    time.Time
 }
 
 // Learn takes in what an answer of a service reported.
-func (s *Seen) Learn(service string, share float64, now time.Time) {
+func (s *RepeatReports) Learn(service string, share float64, now time.Time) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.byService == nil {
-		s.byService = map[string]seenShare{}
+		s.byService = map[string]repeatReport{}
 	}
 	old := s.byService[service].aged(now)
-	s.byService[service] = seenShare{value: old + (share-old)*seenWeight, at: now}
+	s.byService[service] = repeatReport{value: old + (share-old)*reportWeight, at: now}
 }
 
 // Of returns the share of a service.
-func (s *Seen) Of(service string, now time.Time) float64 {
+func (s *RepeatReports) Of(service string, now time.Time) float64 {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	return s.byService[service].aged(now)
 }
 
 // Highest returns the highest share of all services.
-func (s *Seen) Highest(now time.Time) float64 {
+func (s *RepeatReports) Highest(now time.Time) float64 {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	highest := 0.0
@@ -131,9 +131,9 @@
 	return highest
 }
 
-func (s seenShare) aged(now time.Time) float64 {
+func (s repeatReport) aged(now time.Time) float64 {
 	if s.value == 0 {
 		return 0
 	}
-	return s.value * math.Exp(-max(0, now.Sub(s.at)).Seconds()/seenMemory.Seconds())
+	return s.value * math.Exp(-max(0, now.Sub(s.at)).Seconds()/reportMemory.Seconds())
 }
--- a/internal/retrier/repeats_test.go
+++ b/internal/retrier/repeats_test.go
@@ -17,10 +17,10 @@
 
 // chainNode is the retry state of one node.
 type chainNode struct {
-	repeats Repeats
-	seen    Seen
-	below   Seen
-	ratio   Ratio
+	repeats  Repeats
+	reported RepeatReports
+	below    RepeatReports
+	ratio    Ratio
 }
 
 // chain is a chain of services whose calls do not name the request above them.
@@ -42,7 +42,7 @@
 		caller.ratio.Succeed(c.allowance())
 		return true
 	}
-	if caller.seen.Of(fmt.Sprint(level), c.now) >= c.terms.Target() || !caller.ratio.take(c.allowance()) {
+	if caller.reported.Of(fmt.Sprint(level), c.now) >= c.terms.Target() || !caller.ratio.take(c.allowance()) {
 		return false
 	}
 	return c.attempt(level, caller, true, 1)
@@ -70,7 +70,7 @@
 	}
 	ok = ok && c.random.Float64() >= c.fails[level]
 	share := max(n.repeats.Share(c.now), n.below.Highest(c.now))
-	caller.seen.Learn(fmt.Sprint(level), share, c.now)
+	caller.reported.Learn(fmt.Sprint(level), share, c.now)
 	if level > 1 {
 		caller.below.Learn(fmt.Sprint(level), share, c.now)
 	}
