--- a/Makefile
+++ b/Makefile
@@ -27,6 +27,7 @@
 	$(GO) test ./internal/forwarder -run '^$$' -fuzz FuzzHeaders -fuzztime $(FUZZ_TIME)
 	$(GO) test ./platform -run '^$$' -fuzz FuzzReadConfiguration -fuzztime $(FUZZ_TIME)
 	$(GO) test ./platform -run '^$$' -fuzz FuzzReadHeartbeat -fuzztime $(FUZZ_TIME)
+	$(GO) test ./platform -run '^$$' -fuzz FuzzReadHealth -fuzztime $(FUZZ_TIME)
 
 lint: lint-tools
 	test -z "$$(gofumpt -l *.go internal platform)"
--- a/internal/runner/platform_test.go
+++ b/internal/runner/platform_test.go
@@ -59,11 +59,17 @@
 func (w *platformWorker) serveConn(c net.Conn) {
 	defer func() { _ = c.Close() }()
 	br := bufio.NewReader(c)
+	isLate := false
 	for {
 		r, err := http.ReadRequest(br)
 		if err != nil {
 			return
 		}
+		if isLate {
+			// A second answer to the request before comes where the answer to this one is due.
+			fmt.Fprint(c, "HTTP/1.1 200 OK\r\nX-Attempt-Id: late\r\nContent-Length: 4\r\n\r\nlate")
+		}
+		isLate = strings.HasSuffix(r.URL.Path, "/late")
 		if strings.HasSuffix(r.URL.Path, "/early") {
 			w.answerEarly(c, r)
 			continue
@@ -93,8 +99,11 @@
 		fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nX-Instance-Id: %s\r\nX-Server-Load: 3,0,20\r\nContent-Length: 0\r\n\r\n", w.instance)
 		return true
 	}
-	if expected := r.Header.Get("X-Expect-Instance"); expected != w.instance {
-		fmt.Fprintf(c, "HTTP/1.1 421 Misdirected Request\r\nX-Instance-Id: %s\r\nContent-Length: 0\r\n\r\n", w.instance)
+	w.mu.Lock()
+	instance := w.instance
+	w.mu.Unlock()
+	if expected := r.Header.Get("X-Expect-Instance"); expected != instance {
+		fmt.Fprintf(c, "HTTP/1.1 421 Misdirected Request\r\nX-Instance-Id: %s\r\nContent-Length: 0\r\n\r\n", instance)
 		return true
 	}
 	kind := r.URL.Path[strings.LastIndex(r.URL.Path, "/")+1:]
@@ -106,7 +115,7 @@
 	w.seen = append(w.seen, r)
 	w.runs[id]++
 	w.mu.Unlock()
-	head := "X-Attempt-Id: " + id + "\r\nX-Server-Stamp: stamp-" + w.instance + "\r\n"
+	head := "X-Attempt-Id: " + id + "\r\nX-Server-Stamp: stamp-" + instance + "\r\n"
 	switch kind {
 	case "failed":
 		fmt.Fprintf(c, "HTTP/1.1 500 Internal Server Error\r\n%sContent-Length: 4\r\n\r\noops", head)
@@ -307,6 +316,8 @@
 		{"second answer", http.MethodGet, "/one/extra", "key-a", "", 200, "hello", stamp(1)},
 		{"after a second answer", http.MethodGet, "/one/a", "key-a", "", 200, "hello", stamp(1)},
 		{"silence ends at the route's timeout", http.MethodPost, "/one/silent", "key-a", "x", 504, "", ""},
+		{"before a late answer", http.MethodGet, "/one/late", "key-a", "", 200, "hello", stamp(1)},
+		{"beside a late answer", http.MethodGet, "/one/a", "key-a", "", 200, "hello", stamp(1)},
 		{"closing upstream", http.MethodGet, "/one/closing", "key-a", "", 200, "hello", stamp(1)},
 		{"large answer", http.MethodGet, "/one/large", "key-a", "", 200, strings.Repeat("x", 1<<20), stamp(1)},
 		{"unknown key", http.MethodGet, "/zero/a", "key-x", "", 401, "", ""},
@@ -559,3 +570,29 @@
 		}
 	}
 }
+
+// The address of an upstream goes to another run that nothing announced: no request runs there, and the refusal says so.
+func TestPlatformReusedAddress(t *testing.T) {
+	f := serving(t)
+	w := f.workers[1]
+	w.mu.Lock()
+	w.instance = "i-other"
+	w.mu.Unlock()
+	for node := range f.nodes {
+		id := fmt.Sprintf("reused-%d", node)
+		got := f.send(node, http.MethodPost, "/one/a", "key-a", id, "x")
+		if got.status != http.StatusServiceUnavailable || w.runsOf(id) != 0 {
+			t.Errorf("node %d: status %d, run %d times; want 503 and none", node, got.status, w.runsOf(id))
+		}
+	}
+	eventually(t, "the new run is announced", func() bool {
+		return f.post("http://"+f.nodes[1].node.cfg.GetAnnounceAddress()+"/instances/i-other/heartbeat", fmt.Sprintf(
+			`{"address":%q,"info":{"service":"svc1","zone":"d1","slots":20},"status":{"state":"ready","seq":1,"coldLeftS":0},"born":2000}`,
+			w.listener.Addr().String())) == http.StatusOK
+	})
+	n := 0
+	eventually(t, "the new run serves", func() bool {
+		n++
+		return f.send(0, http.MethodPost, "/one/a", "key-a", fmt.Sprintf("new-%d", n), "x").status == http.StatusOK
+	})
+}
