Log requests that are refused before their route and account are known

Change: the entry writes requestRefused with id, reason, host, path, whether a key came, and the revision and age of what it knew. A path that holds the key is left out. Bounded with the other lines.

Test: two rows of TestPlatformExplains.

--- a/internal/controller/leadership.go
+++ b/internal/controller/leadership.go
@@ -19,7 +19,7 @@
 
 const (
 	// nodeLifetime is the silence after which a node's workers are suspect, and suspectLifetime the one after which they are
-	// taken off.
+	// taken off: cuts of the way to the control hosts last for seconds.
 	nodeLifetime    = 2500 * time.Millisecond
 	suspectLifetime = 20 * time.Second
 	// gatherTime is how long a new leader waits for the nodes' states before it says that workers are gone.
--- a/internal/forwarder/caller.go
+++ b/internal/forwarder/caller.go
@@ -20,20 +20,9 @@
 func (f *Forwarder) serveRoot(ctx context.Context, req *Request) (*answer, *refuser.Refusal) {
 	f.meters.roots.Inc(1)
 	began := f.Timer.Now()
-	view := f.Control.View()
-	if view == nil {
-		return nil, notReady()
-	}
-	route, ref := f.route(ctx, req, view)
-	if ref != nil {
-		return nil, ref
-	}
-	who, ref := f.authenticate(req, view, route)
-	if ref != nil {
-		return nil, ref
-	}
-	c, ref := f.newRoot(req, who, route)
+	c, who, ref := f.readRoot(ctx, req)
 	if ref != nil {
+		f.explainRefused(req, ref)
 		return nil, ref
 	}
 	c.deadline = began.Add(c.timeout)
@@ -54,6 +43,24 @@
 	return a, ref
 }
 
+// readRoot finds the route and the client account of a request and builds its call.
+func (f *Forwarder) readRoot(ctx context.Context, req *Request) (*rootCall, caller, *refuser.Refusal) {
+	view := f.Control.View()
+	if view == nil {
+		return nil, caller{}, notReady()
+	}
+	route, ref := f.route(ctx, req, view)
+	if ref != nil {
+		return nil, caller{}, ref
+	}
+	who, ref := f.authenticate(req, view, route)
+	if ref != nil {
+		return nil, caller{}, ref
+	}
+	c, ref := f.newRoot(req, who, route)
+	return c, who, ref
+}
+
 // caller is what the entry learned of a root request.
 type caller struct {
 	key   string
--- a/internal/forwarder/explain.go
+++ b/internal/forwarder/explain.go
@@ -43,6 +43,25 @@
 	})
 }
 
+// explainRefused logs a request that was refused before it was known where it should go and who sent it. A path that holds the
+// key is left out.
+func (f *Forwarder) explainRefused(req *Request, ref *refuser.Refusal) {
+	f.decisions.Notable(f.Timer.Now(), "requestRefused", func() []zap.Field {
+		path := pathOf(req.Target)
+		if holdsKey(path, req.Key) {
+			path = ""
+		}
+		revision := uint64(0)
+		if view := f.Control.View(); view != nil {
+			revision = view.Revision
+		}
+		return append(outcomeFields(nil, ref),
+			zap.String("id", req.CallerID), zap.String("host", req.Host), zap.String("service", req.Service),
+			zap.String("method", req.Method), zap.String("path", path), zap.Bool("hasKey", req.HasKey),
+			zap.Uint64("revision", revision), zap.Duration("certificateAge", f.Control.Staleness()))
+	})
+}
+
 // rateFields tells what a refusal for the rate was decided by.
 func (f *Forwarder) rateFields(account string) []zap.Field {
 	s, terms := f.Control.Bucket(account).State(), f.Control.View().Terms(account)
--- a/internal/runner/platform_test.go
+++ b/internal/runner/platform_test.go
@@ -549,6 +549,8 @@
 	}
 	f.send(0, http.MethodPost, "/one/silent", "key-a", "silent", "x")
 	f.send(0, http.MethodPost, "/one/failed", "key-a", "failed", "x")
+	f.send(0, http.MethodGet, "/zero/a", "key-x", "stranger", "")
+	f.send(0, http.MethodGet, "/three/a", "key-a", "lost", "")
 	tests := []struct {
 		event, id string
 		want      []string
@@ -559,6 +561,8 @@
 		}},
 		{"requestEnded", "silent", []string{"outcome=unknown", "reason=deadlineExceeded", "tried=side-1", "took=", "revision="}},
 		{"attemptFailed", "silent", []string{"worker=side-1", "idempotent=false", "took="}},
+		{"requestRefused", "stranger", []string{"outcome=notRun", "reason=unauthorized", "hasKey=true", "revision=", "certificateAge="}},
+		{"requestRefused", "lost", []string{"outcome=notRun", "reason=unknownService", "host=a.example", "path=/three/a", "revision="}},
 		{"requestEnded", "failed", []string{"outcome=whole", "status=500", "tried=side-1", "rank=", "level="}},
 	}
 	for _, tt := range tests {
