--- a/internal/retrier/repeats.go
+++ b/internal/retrier/repeats.go
@@ -9,6 +9,8 @@
 const (
 	// repeatsSpans is the number of spans in which a window of repeats is counted.
 	repeatsSpans = 10
+	// leastSpan keeps a window that the settings leave at nothing from being divided by.
+	leastSpan = time.Millisecond
 	// recentSpans is the number of them that tell of requests in progress.
 	recentSpans = 2
 	// repeatsPrior is a number of requests that is assumed besides those counted: the first repeat says little.
@@ -36,7 +38,7 @@
 
 // NewRepeats returns a measure over a window.
 func NewRepeats(window time.Duration) *Repeats {
-	return &Repeats{span: window / repeatsSpans}
+	return &Repeats{span: max(leastSpan, window/repeatsSpans)}
 }
 
 // Count takes in one request. Weight is the chance that it is a repeat.
--- a/internal/retrier/repeats_test.go
+++ b/internal/retrier/repeats_test.go
@@ -149,3 +149,13 @@
 		})
 	}
 }
+
+// A window of nothing, as settings may give, still counts.
+func TestRepeatsWithoutWindow(t *testing.T) {
+	r := NewRepeats(0)
+	now := time.Unix(1000, 0)
+	r.Count(1, now)
+	if share := r.Share(now); share <= 0 {
+		t.Errorf("share %v after a repeat", share)
+	}
+}
