--- a/internal/limiter/takeover_test.go
+++ b/internal/limiter/takeover_test.go
@@ -82,8 +82,10 @@
 	for i := range count {
 		n := f.addNode(i)
 		n.epoch = 1
-		f.nodes = append(f.nodes, n)
 		list = append(list, n)
+	}
+	f.nodes = list
+	for _, n := range list {
 		group.Go(func() { playExchanges(f, n, mu, usualGap, time.Duration(seconds)*time.Second) })
 	}
 	return list
