Check an upstream's health over the exchange that carries its requests

Found in the last read: the prober brought a second HTTP client towards the upstream, beside package exchanger. It uses that now, with the same bound on a check. An if and its opposite became one branch, and the clock is read once for a report. No change of behaviour; TestPlatformRestartedNodeFindsUpstream and TestAdopt cover both, as before.

--- a/internal/announcer/announcer.go
+++ b/internal/announcer/announcer.go
@@ -191,9 +191,6 @@
 		return nil
 	}
 	fresh := up == nil || up.Address != addr || up.Instance != msg.Instance || (!up.adopted && !up.began.Equal(msg.Began))
-	if !fresh {
-		up.began, up.adopted = msg.Began, false
-	}
 	if fresh {
 		if up != nil {
 			up.Gate.Drain()
@@ -201,6 +198,8 @@
 		}
 		up = a.newUpstream(msg, addr)
 		a.byService[msg.Service] = up
+	} else {
+		up.began, up.adopted = msg.Began, false
 	}
 	changed := fresh || up.state != state || up.slots != msg.Slots
 	up.state, up.slots, up.heard, up.sequence = state, msg.Slots, a.timer.Now(), msg.Sequence
--- a/internal/forwarder/upstream.go
+++ b/internal/forwarder/upstream.go
@@ -87,10 +87,10 @@
 }
 
 func (f *Forwarder) reportOf(up *announcer.Upstream, c *call, nested nestedState) report {
-	g := up.Gate.Report()
+	g, now := up.Gate.Report(), f.Timer.Now()
 	return report{
 		level: max(uint32(g.Level), nested.level), load: g.Load, spent: c.budget.Spent(), hasSpent: true,
-		repeats: max(f.repeatsOf(up.Service).Share(f.Timer.Now()), f.below.Highest(f.Timer.Now())), hasRepeats: true,
+		repeats: max(f.repeatsOf(up.Service).Share(now), f.below.Highest(now)), hasRepeats: true,
 	}
 }
 
--- a/internal/prober/prober.go
+++ b/internal/prober/prober.go
@@ -12,6 +12,7 @@
 	"go.uber.org/zap"
 
 	"github.com/lavenderhub/lavenderhub/internal/announcer"
+	"github.com/lavenderhub/lavenderhub/internal/exchanger"
 	"github.com/lavenderhub/lavenderhub/internal/timer"
 )
 
@@ -47,12 +48,12 @@
 // Prober looks for one upstream.
 type Prober struct {
 	Parts
-	client *http.Client
+	pool *exchanger.Pool
 }
 
 // New returns a Prober.
 func New(p Parts) *Prober {
-	return &Prober{Parts: p, client: &http.Client{Timeout: pause, Transport: &http.Transport{DisableKeepAlives: true}}}
+	return &Prober{Parts: p, pool: exchanger.New(p.Address, p.Timer)}
 }
 
 // Run looks until the upstream is known, by its answer or by its own heartbeat.
@@ -92,14 +93,17 @@
 }
 
 func (p *Prober) check(ctx context.Context, path string) (Health, error) {
+	ctx, cancel := context.WithTimeout(ctx, pause)
+	defer cancel()
 	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+p.Address.String()+path, http.NoBody)
 	if err != nil {
 		return Health{}, errors.Wrap(err, "build health check")
 	}
-	resp, err := p.client.Do(req)
+	resp, _, err := p.pool.Do(req, true)
 	if err != nil {
 		return Health{}, errors.Wrap(err, "health check")
 	}
+	// The headers tell all; closing the body unread gives the connection up.
 	defer func() { _ = resp.Body.Close() }()
 	health, ok := p.Read(resp)
 	if !ok {
