Exchange only the accounts that changed

Cause: every exchange contained every account in use, also an exchange ahead of the interval for one waiting request. The work on the leader grew with nodes x accounts x requests without a token.

Now a regular exchange contains the accounts that changed since the last report that the leader acknowledged, and every other account about once a second, in time to renew its lease and tokens. An exchange ahead of the interval contains only accounts with waiting requests or newly settled tokens, and neither workers, watches nor control addresses; it doesn't put off the regular one, and none is made if no account has news any more. The bound of an account holds: the owner counts tokens and leases that are not reported until they expire. The leader allows partial reports only to an incarnation whose complete report of this epoch it has, so that an older leader never gets one, and a partial report doesn't count as a holder's report that ends the carry-over.

New counters: sync.demands and sync.ahead on nodes, control.demands on the leader.

--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -73,6 +73,7 @@
 	work     metrics.Timer
 	commands metrics.Counter
 	claims   metrics.Counter
+	demands  metrics.Counter
 	writes   metrics.Timer
 	nodes    metrics.Gauge
 	leads    metrics.Gauge
@@ -83,6 +84,7 @@
 		syncs:    metrics.GetOrRegisterTimer("control.sync", r),
 		work:     metrics.GetOrRegisterTimer("control.syncWork", r),
 		commands: metrics.GetOrRegisterCounter("control.commands", r),
+		demands:  metrics.GetOrRegisterCounter("control.demands", r),
 		claims:   metrics.GetOrRegisterCounter("control.claims", r),
 		writes:   metrics.GetOrRegisterTimer("control.syncedWrite", r),
 		nodes:    metrics.GetOrRegisterGauge("control.nodes", r),
--- a/internal/controller/leadership.go
+++ b/internal/controller/leadership.go
@@ -56,6 +56,8 @@
 	adminAddress string
 	// suspect is set while the node's workers are suspect.
 	suspect bool
+	// hasAllDemands is set once the node has reported all of its demands in this epoch.
+	hasAllDemands bool
 }
 
 // serviceState is the membership of one service.
@@ -207,6 +209,30 @@
 	}
 }
 
+// recordAhead records an exchange without workers. It is no contact of a suspect node, whose workers are restored by the next
+// regular exchange.
+func (l *leadership) recordAhead(req *schema.SyncRequest, now time.Time) {
+	n := l.nodes[req.GetNode()]
+	if n == nil || n.incarnation != req.GetIncarnation() || n.suspect {
+		return
+	}
+	n.lastContact, n.revision = now, req.GetHaveRevision()
+}
+
+// recordDemands records that a node has reported its demands in this epoch. It returns whether the leader has all of them, so
+// that the next report may be partial, and whether this was the last complete report outstanding.
+func (l *leadership) recordDemands(req *schema.SyncRequest) (partialAllowed, allReported bool) {
+	n := l.nodes[req.GetNode()]
+	isMember := n != nil && n.incarnation == req.GetIncarnation()
+	if req.GetPartial() {
+		return isMember && n.hasAllDemands, false
+	}
+	if isMember {
+		n.hasAllDemands = true
+	}
+	return isMember, l.holders.recordReport(req.GetNode())
+}
+
 func (l *leadership) addWorkers(n *nodeState) {
 	for _, w := range n.workers {
 		s := l.services[w.GetService()]
--- a/internal/controller/sync.go
+++ b/internal/controller/sync.go
@@ -45,8 +45,11 @@
 func (c *Controller) sync(req *schema.SyncRequest, now time.Time) *schema.SyncReply {
 	reply := &schema.SyncReply{
 		Status: schema.ReplyStatus_REPLY_STATUS_NOT_LEADER, LeaderAddress: c.leaderAddress(),
-		ControlAddresses: c.controlAddresses(),
 	}
+	if !req.GetAhead() {
+		reply.ControlAddresses = c.controlAddresses()
+	}
+	c.meter.demands.Inc(int64(len(req.GetDemands())))
 	if c.leading == nil {
 		return reply
 	}
@@ -71,10 +74,14 @@
 
 // exchangeState records a node's state and adds exchange intervals and changed memberships to the reply.
 func (l *leadership) exchangeState(req *schema.SyncRequest, reply *schema.SyncReply, now time.Time) {
-	if req.GetLeaving() {
+	switch {
+	case req.GetLeaving():
 		l.removeNode(req.GetNode())
 		l.holders.recordLeave(req.GetNode())
-	} else {
+	case req.GetAhead():
+		l.recordAhead(req, now)
+		l.holders.recordContact(req.GetNode(), now)
+	default:
 		l.updateNode(req, now)
 		l.holders.recordContact(req.GetNode(), now)
 	}
@@ -94,12 +101,23 @@
 	}
 }
 
-// grantTokens processes a node's demands and adds grants to the reply.
+// grantTokens processes a node's demands, and ends the carry-over once all holders have reported theirs.
 func (c *Controller) grantTokens(req *schema.SyncRequest, reply *schema.SyncReply, now time.Time) {
 	if !c.mayHoldTokens(req.GetNode()) {
 		return
 	}
 	l := c.leading
+	l.grantDemands(req, reply, now)
+	allowed, reported := l.recordDemands(req)
+	reply.PartialAllowed = allowed
+	if reported {
+		l.owner.EndCarryover(now)
+		c.log.Info("holdersReported", zap.Uint64("term", l.term), zap.Duration("took", now.Sub(l.start)))
+	}
+}
+
+// grantDemands adds grants for a node's demands to the reply.
+func (l *leadership) grantDemands(req *schema.SyncRequest, reply *schema.SyncReply, now time.Time) {
 	h := limiter.Holder{Node: req.GetNode(), Incarnation: req.GetIncarnation()}
 	for _, d := range req.GetDemands() {
 		request := grantRequest(d)
@@ -117,10 +135,6 @@
 			Scarce: g.Oversubscribed, ClosedMicros: uint64(g.RestrictedFor.Microseconds()),
 		})
 	}
-	if l.holders.recordReport(req.GetNode()) {
-		l.owner.EndCarryover(now)
-		c.log.Info("holdersReported", zap.Uint64("term", l.term), zap.Duration("took", now.Sub(l.start)))
-	}
 }
 
 func grantRequest(d *schema.Demand) limiter.GrantRequest {
--- a/internal/limiter/bucket.go
+++ b/internal/limiter/bucket.go
@@ -73,6 +73,9 @@
 	lease           nodeLease
 	restrictedUntil time.Time
 	localRate       *localRate
+	// sent is the newest report, and acknowledged the newest one that the owner has replied to.
+	sent         report
+	acknowledged report
 }
 
 // localRate is a token bucket that belongs to this node alone.
@@ -333,6 +336,7 @@
 		req.Marks = append(req.Marks, Mark{Age: now.Sub(m.at), Settled: m.settled})
 	}
 	b.marksSent = len(b.marks)
+	b.sent = b.newReport(now)
 	return req, true
 }
 
@@ -364,6 +368,7 @@
 		return
 	}
 	b.lastReply = b.timer.Now()
+	b.acknowledged = b.sent
 	b.marks = b.marks[min(b.marksSent, len(b.marks)):]
 	b.marksSent = 0
 	now := b.timer.Now()
--- a/internal/syncer/syncer.go
+++ b/internal/syncer/syncer.go
@@ -85,6 +85,8 @@
 	started     time.Time
 	tomb        tomb.Tomb
 	wakeups     chan struct{}
+	// tokenWakeups requests an exchange ahead of the interval for the accounts that have news.
+	tokenWakeups chan struct{}
 
 	view        atomic.Pointer[resolver.View]
 	certifiedAt atomic.Int64 // time since started, in nanoseconds; zero before the first freshness certificate
@@ -105,12 +107,18 @@
 	workers         map[string][]*schema.Worker
 	exchangeLimiter *rate.Limiter
 	interval        time.Duration
-	meter           meters
+	// regularAt is when the next regular exchange is due.
+	regularAt time.Time
+	// partialAllowed is set while the leader has all demands of this node and epoch.
+	partialAllowed bool
+	meter          meters
 }
 
 type meters struct {
 	exchanges metrics.Timer
 	failures  metrics.Counter
+	ahead     metrics.Counter
+	demands   metrics.Counter
 	sent      metrics.Gauge
 	received  metrics.Gauge
 }
@@ -119,12 +127,15 @@
 func New(p Parts) *Syncer {
 	s := &Syncer{
 		Parts: p, incarnation: rand.Uint64(), started: p.Timer.Now(), wakeups: make(chan struct{}, 1),
-		watches: map[string]bool{}, exchangeDone: make(chan struct{}), viewBuilder: resolver.NewViewBuilder(),
+		tokenWakeups: make(chan struct{}, 1),
+		watches:      map[string]bool{}, exchangeDone: make(chan struct{}), viewBuilder: resolver.NewViewBuilder(),
 		controlHosts: p.ControlAddresses, workers: map[string][]*schema.Worker{},
 		exchangeLimiter: rate.NewLimiter(initialExchangeRate, exchangeBurst), interval: initialInterval,
 		meter: meters{
 			exchanges: metrics.GetOrRegisterTimer("sync.exchanges", p.Registry),
 			failures:  metrics.GetOrRegisterCounter("sync.failures", p.Registry),
+			ahead:     metrics.GetOrRegisterCounter("sync.ahead", p.Registry),
+			demands:   metrics.GetOrRegisterCounter("sync.demands", p.Registry),
 			sent:      metrics.GetOrRegisterGauge("sync.bytesSent", p.Registry),
 			received:  metrics.GetOrRegisterGauge("sync.bytesReceived", p.Registry),
 		},
@@ -165,7 +176,7 @@
 		return true
 	})
 	for range 2 * len(s.controlHosts) {
-		if s.exchange(ctx, true) == nil {
+		if s.exchange(ctx, leaving) == nil {
 			return
 		}
 	}
@@ -195,7 +206,7 @@
 	if b, ok := s.buckets.Load(account); ok {
 		return b.(*limiter.Bucket)
 	}
-	b, _ := s.buckets.LoadOrStore(account, limiter.NewBucket(s.Timer, s.Assert, s.Wake, s.splitRateOptions(account)...))
+	b, _ := s.buckets.LoadOrStore(account, limiter.NewBucket(s.Timer, s.Assert, s.wakeForTokens, s.splitRateOptions(account)...))
 	return b.(*limiter.Bucket)
 }
 
@@ -214,7 +225,7 @@
 	return max(1, int(s.nodes.Load()))
 }
 
-// Wake requests an exchange ahead of the regular interval.
+// Wake requests that the next regular exchange is made at once.
 func (s *Syncer) Wake() {
 	select {
 	case s.wakeups <- struct{}{}:
@@ -222,6 +233,14 @@
 	}
 }
 
+// wakeForTokens requests an exchange for the accounts that have news.
+func (s *Syncer) wakeForTokens() {
+	select {
+	case s.tokenWakeups <- struct{}{}:
+	default:
+	}
+}
+
 // Locate starts to watch the workers of a service and waits until they are known. It returns false when neither the
 // configuration nor any node has the service.
 func (s *Syncer) Locate(ctx context.Context, service string) bool {
@@ -269,46 +288,61 @@
 // loop makes the exchanges until the Syncer is stopped.
 func (s *Syncer) loop() error {
 	ctx := s.tomb.Context(context.Background())
+	kind := regular
 	for ctx.Err() == nil {
 		s.Announcer.Expire()
-		err := s.exchange(ctx, false)
+		err := s.exchange(ctx, kind)
 		if err != nil && ctx.Err() == nil {
 			s.meter.failures.Inc(1)
 			s.Log.Debug("syncFailed", zap.Error(err))
 		}
-		s.waitForNext(ctx, err)
+		if kind == regular {
+			s.regularAt = s.Timer.Now().Add(s.interval*9/10 + rand.N(s.interval/10))
+		}
+		kind = s.waitForNext(ctx, err)
 	}
 	return nil
 }
 
-// waitForNext waits until the next exchange is due: a jittered interval, or less after a wake-up or a failure.
-func (s *Syncer) waitForNext(ctx context.Context, err error) {
+// waitForNext waits until the next exchange is due, and returns its kind. A regular exchange is due at its time, or earlier
+// after a wake-up or a failure.
+func (s *Syncer) waitForNext(ctx context.Context, err error) exchangeKind {
 	if err != nil {
 		_ = s.Timer.Sleep(ctx, retryPause/2+rand.N(retryPause))
-		return
+		return regular
 	}
-	sub := s.Timer.After(s.interval*9/10 + rand.N(s.interval/10))
+	sub := s.Timer.After(max(0, s.regularAt.Sub(s.Timer.Now())))
 	defer sub.Stop()
 	select {
 	case <-sub.C:
 	case <-ctx.Done():
 	case <-s.wakeups:
 		_ = s.exchangeLimiter.Wait(ctx)
+	case <-s.tokenWakeups:
+		_ = s.exchangeLimiter.Wait(ctx)
+		if s.Timer.Now().Before(s.regularAt) {
+			return ahead
+		}
 	}
+	return regular
 }
 
 // errNotServed is returned when a control host can't serve the exchange.
 var errNotServed = errors.New("control host does not lead")
 
 // exchange makes one exchange with the last known leader, or with the next control host to try.
-func (s *Syncer) exchange(ctx context.Context, leaving bool) error {
+func (s *Syncer) exchange(ctx context.Context, kind exchangeKind) error {
 	if len(s.controlHosts) == 0 {
 		return errNotServed
 	}
 	addr := s.controlHosts[s.nextHost%len(s.controlHosts)]
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
-	req := s.newRequest(leaving)
+	req := s.newRequest(kind)
+	if req.GetAhead() && len(req.GetDemands()) == 0 {
+		return nil
+	}
+	s.meter.demands.Inc(int64(len(req.GetDemands())))
 	sent := s.Timer.Now()
 	reply, err := s.client(addr).Sync(ctx, req)
 	if err != nil {
@@ -385,53 +419,10 @@
 	return schema.NewControlProtobufClient(peer.URL(""), &http.Client{Transport: dialer.WithToken(peer, s.Token)})
 }
 
-func (s *Syncer) newRequest(leaving bool) *schema.SyncRequest {
-	req := &schema.SyncRequest{
-		Node: s.Node.Name, Incarnation: s.incarnation, HaveRevision: s.viewBuilder.Revision(), Epoch: s.epoch, Leaving: leaving,
-	}
-	if s.Node.AdminAddress.IsValid() {
-		req.AdminAddress = s.Node.AdminAddress.String()
-	}
-	for _, w := range s.Announcer.Workers() {
-		w.Node, w.FailureDomain, w.Region = s.Node.Name, s.Node.FailureDomain, s.Node.Region
-		w.PeerAddress = s.Node.PeerAddress.String()
-		req.Workers = append(req.Workers, w)
-		// Callers of the local upstream's service may reach this node too.
-		s.watch(w.GetService())
-	}
-	s.mu.Lock()
-	for service := range s.watches {
-		req.Watches = append(req.Watches, &schema.Watch{Service: service, Fingerprint: resolver.Fingerprint(s.workers[service])})
-	}
-	s.mu.Unlock()
-	s.buckets.Range(func(k, v any) bool {
-		account, b := k.(string), v.(*limiter.Bucket)
-		if grantReq, ok := b.GrantRequest(account, s.epoch); ok {
-			req.Demands = append(req.Demands, newDemand(grantReq))
-		} else if b.IsIdle() {
-			s.buckets.Delete(account)
-		}
-		return true
-	})
-	return req
-}
-
-func newDemand(r limiter.GrantRequest) *schema.Demand {
-	d := &schema.Demand{
-		Account: r.Account, Rate: r.Demand, Want: r.Want, Settled: r.Settled, Unspent: r.Unspent,
-		Waiting:  uint32(r.Waiting),
-		Lease:    &schema.Lease{Rate: r.Lease.Rate, Room: r.Lease.Capacity, Sequence: r.Lease.Sequence},
-		Overflow: r.Overflow, Importance: r.Importance, Carried: r.Carryover,
-	}
-	for _, m := range r.Marks {
-		d.Marks = append(d.Marks, &schema.SettledMark{AgeMicros: uint64(m.Age.Microseconds()), Settled: m.Settled})
-	}
-	return d
-}
-
 // applyReply applies the reply of a successful exchange.
 func (s *Syncer) applyReply(req *schema.SyncRequest, reply *schema.SyncReply, sent time.Time) {
 	previous := s.viewBuilder.Revision()
+	s.partialAllowed = false
 	if !s.viewBuilder.Apply(reply.GetRevision(), reply.GetDelta()) {
 		// The reply is older than the state that this node already has.
 		return
@@ -445,6 +436,7 @@
 	at := sent.Sub(s.started) - time.Duration(reply.GetAgeMicros())*time.Microsecond
 	s.certifiedAt.Store(max(s.certifiedAt.Load(), int64(at), 1))
 	s.applyMemberships(reply)
+	s.partialAllowed = reply.GetPartialAllowed() && reply.GetEpoch() == req.GetEpoch()
 	if reply.GetEpoch() != s.epoch {
 		s.epoch = reply.GetEpoch()
 		s.Wake()
@@ -456,10 +448,15 @@
 			Oversubscribed: g.GetScarce(), RestrictedFor: time.Duration(g.GetClosedMicros()) * time.Microsecond,
 		}, req.GetEpoch(), sent)
 	}
-	s.updateControlHosts(reply)
+	if len(reply.GetControlAddresses()) > 0 {
+		s.updateControlHosts(reply)
+	}
 	s.nodes.Store(max(s.nodes.Load()*nodeCountDecayPercent/100, reply.GetNodes()))
 	s.interval = max(initialInterval, time.Duration(reply.GetIntervalMicros())*time.Microsecond)
 	s.exchangeLimiter.SetLimit(rate.Limit(reply.GetExchangeRate()))
+	if req.GetAhead() {
+		return
+	}
 	s.mu.Lock()
 	close(s.exchangeDone)
 	s.exchangeDone = make(chan struct{})
