Log the steps of a node's stop, with the requests in progress

A node that stops logged only the begin and the end, so a request that was cut at the end of the grace time could not be traced to the step that took too long.

--- a/internal/runner/node.go
+++ b/internal/runner/node.go
@@ -265,17 +265,26 @@
 	n.forwarder.Stop()
 	_ = n.Timer.Sleep(ctx, notice)
 	n.announcer.Stop()
+	n.logStop("upstreamDrains")
 	n.waitIdle(ctx)
+	n.logStop("serversClose")
 	err := n.callerServer.Shutdown(ctx)
 	if peerErr := n.peerServer.Shutdown(ctx); err == nil {
 		err = peerErr
 	}
+	n.logStop("serversClosed")
 	n.Assert.Check(asserter.StopCutsNothing, err != nil || n.forwarder.Active() == 0, "")
 	_ = n.syncer.Kill()
 	n.syncer.Leave(ctx)
 	return n.release(err)
 }
 
+// logStop logs that a step of a stop begins, with the requests in progress.
+func (n *Node) logStop(step string) {
+	n.Log.Info("nodeStopStep", zap.String("step", step), zap.Int64("active", n.forwarder.Active()),
+		zap.Int("upstreamActive", n.announcer.Inflight()))
+}
+
 // stopTimes returns the longest time for a planned stop, and the part of it during which callers and other nodes learn
 // that the node is leaving.
 func (n *Node) stopTimes() (limit, notice time.Duration) {
