Keep a stopping process alive when SIGTERM comes again

Callers saw their connections end without an answer: a process that was stopping died at a second SIGTERM, with all requests that it carried. Two planned stops of a machine that overlap (a rolling restart and a removal) send it twice.

serve() restored the default action for SIGTERM as well as SIGINT after the first signal, for operators at a terminal. Only SIGINT is restored now; the stop has its own limit, so it ends in any case.

TestSecondTerminationKills failed before: the test process ended with "signal: terminated".

--- a/internal/cmd/cmd_serve.go
+++ b/internal/cmd/cmd_serve.go
@@ -59,8 +59,8 @@
 	case <-ctx.Done():
 	case <-p.Failed():
 	}
-	// Restore the default signal handling, so that a second signal terminates the process immediately.
-	stop()
+	// A second interrupt terminates the process immediately. A second SIGTERM doesn't, since two planned stops may overlap.
+	signal.Reset(syscall.SIGINT)
 	return p.Stop()
 }
 
--- a/internal/cmd/cmd_test.go
+++ b/internal/cmd/cmd_test.go
@@ -3,11 +3,16 @@
 import (
 	"bytes"
 	"encoding/json"
+	"fmt"
+	"net"
 	"net/http"
 	"os"
 	"path/filepath"
 	"strings"
+	"sync"
+	"syscall"
 	"testing"
+	"time"
 
 	"go.uber.org/zap"
 
@@ -140,3 +145,78 @@
 		t.Fatalf("admin command with a wrong token: %d %s", status, out)
 	}
 }
+
+// startServe runs the serve command with a node that reaches no control host, and waits until it is up. While the node
+// starts it calls whileStarting.
+func startServe(t *testing.T, whileStarting func()) (adminURL string, ended <-chan error) {
+	t.Helper()
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	admin := ln.Addr().String()
+	_ = ln.Close()
+	file, token := filepath.Join(t.TempDir(), "s.jsonc"), filepath.Join(t.TempDir(), "token")
+	text := fmt.Sprintf(`{"trustedNetwork": true, "adminAddress": %q, "fleetTokenFile": %q, "terms": {"grace": "2s"}, "node": {
+		"name": "n1", "failureDomain": "d1", "callerAddress": "127.0.0.1:0", "peerAddress": "127.0.0.1:0",
+		"controlAddresses": ["127.0.0.1:1"]}}`, admin, token)
+	if err := os.WriteFile(file, []byte(text), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	if err := syscall.Mkfifo(token, 0o600); err != nil {
+		t.Fatal(err)
+	}
+	result := make(chan error, 1)
+	var group sync.WaitGroup
+	group.Go(func() { result <- serve(file, "error") })
+	t.Cleanup(group.Wait)
+	// The open returns when the starting process reads its token.
+	pipe, err := os.OpenFile(token, os.O_WRONLY, 0)
+	if err != nil {
+		t.Fatal(err)
+	}
+	whileStarting()
+	if _, err := pipe.WriteString("token"); err != nil {
+		t.Fatal(err)
+	}
+	_ = pipe.Close()
+	url := "http://" + admin + "/lavenderhub/v1/"
+	for deadline := time.Now().Add(10 * time.Second); statusOf(url+"healthz") != http.StatusOK; time.Sleep(10 * time.Millisecond) {
+		if time.Now().After(deadline) {
+			t.Fatal("the process did not start")
+		}
+	}
+	return url, result
+}
+
+// raise sends a signal to the test process, in which the serve command runs.
+func raise(t *testing.T, sig syscall.Signal) {
+	t.Helper()
+	if err := syscall.Kill(os.Getpid(), sig); err != nil {
+		t.Fatal(err)
+	}
+	time.Sleep(200 * time.Millisecond)
+}
+
+func statusOf(url string) int {
+	resp, err := http.Get(url)
+	if err != nil {
+		return 0
+	}
+	_ = resp.Body.Close()
+	return resp.StatusCode
+}
+
+// TestSecondTerminationKills sends SIGTERM to a process that is stopping.
+func TestSecondTerminationKills(t *testing.T) {
+	url, ended := startServe(t, func() {})
+	for range 2 {
+		raise(t, syscall.SIGTERM)
+		if status := statusOf(url + "healthz"); status != http.StatusOK {
+			t.Errorf("the stopping process answers %d, want 200 until its stop is complete", status)
+		}
+	}
+	if err := <-ended; err != nil {
+		t.Error(err)
+	}
+}
