Receive SIGHUP before the process starts to serve

A process ended at a SIGHUP that came while it started: the watcher of the settings file registered the signal only after the node served, and the default action of SIGHUP is to end the process. Callers that were already served lost their answers.

serve() registers the signal before it starts the roles and hands the channel to the watcher; a signal that came early is handled as soon as the watcher runs.

TestHangupKillsStartingProcess failed before: the test process ended with "signal: hangup".

--- a/internal/cmd/cmd_serve.go
+++ b/internal/cmd/cmd_serve.go
@@ -44,6 +44,10 @@
 	}
 	ctx, stop := interruptContext()
 	defer stop()
+	// The process already serves before the watcher starts, and SIGHUP would end it by default.
+	hangups := make(chan os.Signal, 1)
+	signal.Notify(hangups, syscall.SIGHUP)
+	defer signal.Stop(hangups)
 	out := logger.NewAsyncWriter(os.Stdout)
 	// Lines that can't be written at exit are lost.
 	defer func() { _ = out.Close() }()
@@ -53,7 +57,7 @@
 		return err
 	}
 	p.Registry.GetOrRegister("log.dropped", metrics.NewFunctionalGauge(out.Dropped))
-	w := runner.Watch(p, file, log)
+	w := runner.Watch(p, file, log, hangups)
 	defer w.Stop()
 	select {
 	case <-ctx.Done():
--- a/internal/cmd/cmd_test.go
+++ b/internal/cmd/cmd_test.go
@@ -220,3 +220,12 @@
 		t.Error(err)
 	}
 }
+
+// TestHangupKillsStartingProcess sends SIGHUP to a process that has not started to watch its settings.
+func TestHangupKillsStartingProcess(t *testing.T) {
+	_, ended := startServe(t, func() { raise(t, syscall.SIGHUP) })
+	raise(t, syscall.SIGTERM)
+	if err := <-ended; err != nil {
+		t.Error(err)
+	}
+}
--- a/internal/runner/watcher.go
+++ b/internal/runner/watcher.go
@@ -4,8 +4,6 @@
 	"bytes"
 	"context"
 	"os"
-	"os/signal"
-	"syscall"
 	"time"
 
 	"go.uber.org/zap"
@@ -26,17 +24,12 @@
 	lastContent []byte
 }
 
-// Watch starts a watcher that reads the settings file periodically and on SIGHUP.
-func Watch(p *Process, file string, log *zap.Logger) *Watcher {
+// Watch starts a watcher that reads the settings file periodically and on each signal from hangups.
+func Watch(p *Process, file string, log *zap.Logger, hangups <-chan os.Signal) *Watcher {
 	w := &Watcher{process: p, file: file, log: log}
 	// The process has just read the same file. An error here is reported by the first check if it persists.
 	w.lastContent, _ = os.ReadFile(file)
-	hangups := make(chan os.Signal, 1)
-	signal.Notify(hangups, syscall.SIGHUP)
-	w.tomb.Go(func() error {
-		defer signal.Stop(hangups)
-		return w.run(hangups)
-	})
+	w.tomb.Go(func() error { return w.run(hangups) })
 	return w
 }
 
