Refuse requests that outlast the end of a node's stop

Callers could see a request cut or ended by the node's own 504 though its worker was at work: a stopping node took requests of callers until its servers closed. That is late while the local upstream is still busy, because the caller listener stays open for its nested calls. Whatever came after the notice time and lasted beyond the stop limit was cut. Callers do not leave a node that is not ready when too many nodes of their failure domain are stopping.

The cause: only the gate of the local upstream drained after the notice time, not the entry. The entry now refuses, as not run and with a Retry-After, a request whose deadline is after the stop limit; shorter ones are still served. Calls of the local upstream are exempt, since the stop waits for the requests that make them.

TestStoppingNodeCutsLateRequest failed before: "a request that outlasts the node's stop: 504, ran 1 times; want 503".

--- a/internal/forwarder/forwarder.go
+++ b/internal/forwarder/forwarder.go
@@ -79,6 +79,7 @@
 	runningRequests   runningTable
 	active            atomic.Int64
 	stopping          atomic.Bool
+	stopEnd           atomic.Pointer[time.Time]
 	meters            meters
 	overrides         Overrides
 	upstreamProtocol  UpstreamProtocol
@@ -152,6 +153,18 @@
 	f.stopping.Store(true)
 }
 
+// RefuseBeyond makes the node refuse requests whose deadline is after end, since the end of a stop would cut them. Calls of the
+// local upstream are not refused: they belong to requests that the stop waits for.
+func (f *Forwarder) RefuseBeyond(end time.Time) {
+	f.stopEnd.Store(&end)
+}
+
+// outlastsStop reports whether a call may still be in progress when the node's stop ends.
+func (f *Forwarder) outlastsStop(c *call) bool {
+	end := f.stopEnd.Load()
+	return end != nil && !c.fromLocalUpstream && c.deadline.After(*end)
+}
+
 type meters struct {
 	roots        metrics.Counter
 	nested       metrics.Counter
--- a/internal/forwarder/root.go
+++ b/internal/forwarder/root.go
@@ -234,6 +234,9 @@
 
 // admitRootCall enforces the account's policy on a root call and dispatches it.
 func (f *Forwarder) admitRootCall(ctx context.Context, key string, caller callerIdentity, c *call) (*response, *refuser.Refusal) {
+	if f.outlastsStop(c) {
+		return nil, refuseNotRun(refuser.Draining, "the node stops before the request's deadline")
+	}
 	if ref := f.shedEarly(c); ref != nil {
 		return nil, ref
 	}
--- a/internal/runner/node.go
+++ b/internal/runner/node.go
@@ -35,6 +35,8 @@
 	leaveNoticeTime = 1500 * time.Millisecond
 	// stopMargin is the time between the end of a planned stop and the end of the platform's grace period.
 	stopMargin = 500 * time.Millisecond
+	// sendMargin is the time for the last responses to be sent before the stop limit.
+	sendMargin = 200 * time.Millisecond
 	// idlePollInterval is how often a stopping node checks for requests in progress.
 	idlePollInterval = 20 * time.Millisecond
 )
@@ -252,7 +254,8 @@
 //
 //   - the node reports that it is not ready and closes callers' connections after their current request, so that callers
 //     move to other nodes; the local upstream still serves requests
-//   - the upstream takes no new requests, and requests in progress complete
+//   - the upstream takes no new requests, and requests in progress complete; callers' new requests are refused if their
+//     deadline is after the stop limit
 //   - connections are closed
 //   - unused tokens are returned to the control hosts
 //
@@ -261,9 +264,11 @@
 	limit, notice := n.stopTimes()
 	ctx, cancel := context.WithTimeout(context.Background(), limit)
 	defer cancel()
+	end := n.Timer.Now().Add(limit - sendMargin)
 	n.Log.Info("nodeStopping", zap.String("node", n.cfg.GetName()))
 	n.forwarder.Stop()
 	_ = n.Timer.Sleep(ctx, notice)
+	n.forwarder.RefuseBeyond(end)
 	n.announcer.Stop()
 	n.logStop("upstreamDrains")
 	n.waitIdle(ctx)
--- a/internal/runner/platform_test.go
+++ b/internal/runner/platform_test.go
@@ -609,3 +609,31 @@
 		return f.send(0, http.MethodPost, "/one/a", "key-a", fmt.Sprintf("new-%d", n), "x").status == http.StatusOK
 	})
 }
+
+// TestStoppingNodeCutsLateRequest sends requests to a node that stops while its upstream is still at work.
+func TestStoppingNodeCutsLateRequest(t *testing.T) {
+	f := startServingPlatformFleet(t)
+	f.configure(`"timeoutS":1.5`, `"timeoutS":4`)
+	node := f.nodes[0].node
+	waitUntil(t, "the timeouts are in force", func() bool {
+		return node.syncer.View().HostRoute("a.example", "/zero/x").Choose(0).Timeout == 4*time.Second
+	})
+	node.cfg.StopLimit = durationpb.New(leaveNoticeTime + 1500*time.Millisecond)
+	var group sync.WaitGroup
+	group.Go(func() { f.send(0, http.MethodGet, "/zero/unresponsive", "key-a", "long", "") })
+	waitUntil(t, "the upstream is at work", func() bool { return f.workers[0].runCount("long") == 1 })
+	group.Go(func() { _ = node.Stop() })
+	waitUntil(t, "the upstream drains", func() bool {
+		return f.send(1, http.MethodGet, "/zero/x", "key-a", "drained", "").status == http.StatusServiceUnavailable
+	})
+	short := f.send(0, http.MethodPost, "/one/x", "key-a", "short", "", "X-Deadline-Ms", "600")
+	if short.status != http.StatusOK {
+		t.Errorf("a request that ends before the node's stop: %d %v %s, want 200", short.status, short.err, short.body)
+	}
+	late := f.send(0, http.MethodPost, "/one/unresponsive", "key-a", "late", "")
+	if ran := f.workers[1].runCount("late"); late.status != http.StatusServiceUnavailable || ran != 0 || late.header.Get("Retry-After") == "" {
+		t.Errorf("a request that outlasts the node's stop: %d %v %s, ran %d times; want 503 with a Retry-After, not run",
+			late.status, late.err, late.body, ran)
+	}
+	group.Wait()
+}
