Refuse a waiting request before its deadline, not at it

Callers could get a 504 (the outcome is unknown) for a request that waited for a slot until its deadline and never reached an upstream. They may not repeat it then, though it has not run.

Cause: the gate let a request wait until its deadline as counted at the gate. The deadline starts anew at each hop from the time that was left when the call was sent, so it ends at the entry first by the length of the way. The entry cancels the call and no longer learns that it has not run. Class: an outcome that is known too late to be told. Arrival and dispatch already drop requests with less than half of the mean time left; the wait did not.

Fix: a wait ends at the last moment from which the request could still finish and its refusal reach the hosts above: half of the mean request time and 25 ms before the deadline.

The test failed before: "decision 2 with 0s left, want 2 with 25ms".

Evidence: found by reading, reproduced at the gate only.

--- a/internal/admitter/gate.go
+++ b/internal/admitter/gate.go
@@ -19,6 +19,8 @@
 	maxQueueTime = 400 * time.Millisecond
 	// queueFactor is the maximum wait of a request as a multiple of the mean request time.
 	queueFactor = 2
+	// refusalTime allows for the way of a refusal back to the caller before the request's deadline.
+	refusalTime = 25 * time.Millisecond
 	// latencyWeight is the weight of a new sample in the moving average of the request time.
 	latencyWeight = 0.05
 	// maxIdleWindows bounds the number of elapsed windows without a request for which the level is lowered in one call.
@@ -151,7 +153,7 @@
 	}
 	w := g.enqueue(req, now)
 	g.dispatch(now)
-	wait := min(g.maxWait(req), req.Deadline.Sub(now))
+	wait := min(g.maxWait(req), w.lastStart.Sub(now))
 	g.mu.Unlock()
 	return g.await(ctx, w, wait)
 }
@@ -188,7 +190,9 @@
 
 func (g *Gate) enqueue(req Request, now time.Time) *waiter {
 	g.sequence++
-	w := &waiter{req: req, sequence: g.sequence, decision: make(chan Decision, 1), fifo: g.fifo, enqueuedAt: now}
+	w := &waiter{
+		req: req, sequence: g.sequence, decision: make(chan Decision, 1), fifo: g.fifo, enqueuedAt: now, lastStart: g.lastStart(req),
+	}
 	heap.Push(&g.queue, w)
 	g.limit.busy = true
 	return w
@@ -200,6 +204,12 @@
 	return max(minQueueTime, min(maxQueueTime, max(g.mean*queueFactor, req.MaxWait)))
 }
 
+// lastStart returns the time after which a request is refused because it can't finish by its deadline. The refusal must
+// reach the hosts above before they end the call themselves.
+func (g *Gate) lastStart(req Request) time.Time {
+	return req.Deadline.Add(-g.mean/2 - refusalTime)
+}
+
 func (g *Gate) await(ctx context.Context, w *waiter, wait time.Duration) (Ticket, Decision) {
 	sub := g.timer.After(wait)
 	defer sub.Stop()
@@ -221,7 +231,7 @@
 		now := g.timer.Now()
 		g.queueShed = true
 		g.level.recordShed(w.req.Rank, now)
-		if !now.Before(w.req.Deadline) {
+		if !now.Before(w.lastStart) {
 			d = DeadlineExceeded
 		}
 	}
--- a/internal/admitter/queue.go
+++ b/internal/admitter/queue.go
@@ -7,6 +7,7 @@
 	req        Request
 	sequence   uint64
 	enqueuedAt time.Time
+	lastStart  time.Time
 	decision   chan Decision
 	index      int
 	fifo       bool
--- /dev/null
+++ b/internal/admitter/refusal_time_test.go
@@ -0,0 +1,34 @@
+package admitter
+
+import (
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/lavenderhub/lavenderhub/internal/timer"
+)
+
+// The hosts above end a call at its deadline and then don't know whether it has run.
+func TestRefusalOfWaitingRequestComesTooLate(t *testing.T) {
+	tests := []struct {
+		name string
+		rank Rank
+	}{
+		{"root request", NewRank(1, 1, []byte{0, 0, 0, 1}, 1, 1)},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				g := New(1, timer.New(), nil, WithStaticLimit())
+				if _, d := g.Admit(t.Context(), Request{Deadline: time.Now().Add(time.Hour)}); d != Admitted {
+					t.Fatalf("decision %v from an idle gate", d)
+				}
+				deadline := time.Now().Add(200 * time.Millisecond)
+				_, d := g.Admit(t.Context(), Request{Rank: tt.rank, Deadline: deadline, MaxWait: 400 * time.Millisecond})
+				if left := time.Until(deadline); d != DeadlineExceeded || left < refusalTime {
+					t.Errorf("decision %v with %s left, want %v with %s", d, left, DeadlineExceeded, refusalTime)
+				}
+			})
+		})
+	}
+}
