Bound the head of an upstream's response by size, and end attempts on bytes that are no response

What callers saw: a request to an upstream that sent a status line, header line or header block without end, or bytes that are no response and then nothing, ended with 504 at its deadline and outcome unknown. The node stored all that came until then.

Cause: readFinal passed the connection to http.ReadResponse without a bound. net/http bounds lines of chunks and trailers, and the exchanger bounds mismatched bodies, but nothing bounds a head. Class: input from another party read without a limit in bytes.

Why it works: the connection's reader is bounded to 64 KB from the first interim head to the end of the final one, and unbounded for the body. The first bytes are compared with "HTTP/" as they come. Both ends give a HeadError and close the connection, so the caller gets 502 with outcome failed and the number of bytes; the new log event responseBroke also quotes the first bytes.

--- a/internal/exchanger/conn.go
+++ b/internal/exchanger/conn.go
@@ -19,6 +19,7 @@
 type conn struct {
 	net.Conn
 	pool        *Pool
+	bounded     *boundedReader
 	reader      *bufio.Reader
 	writer      *bufio.Writer
 	lastUsed    time.Time
@@ -28,10 +29,13 @@
 }
 
 func newConn(raw net.Conn, p *Pool) *conn {
-	return &conn{
-		Conn: raw, pool: p, reader: bufio.NewReaderSize(raw, readBufferSize), writer: bufio.NewWriterSize(raw, writeBufferSize),
+	c := &conn{
+		Conn: raw, pool: p, bounded: &boundedReader{Reader: raw}, writer: bufio.NewWriterSize(raw, writeBufferSize),
 		idleTimeout: IdleTimeout,
 	}
+	c.unboundHead()
+	c.reader = bufio.NewReaderSize(c.bounded, readBufferSize)
+	return c
 }
 
 func (c *conn) close() {
--- a/internal/exchanger/exchange.go
+++ b/internal/exchanger/exchange.go
@@ -130,10 +130,12 @@
 	return nil, mismatched, ErrMismatchedResponse
 }
 
-// readFinal reads the next final response, skipping interim ones.
+// readFinal reads the head of the next final response, skipping interim ones.
 func (c *conn) readFinal(req *http.Request) (*http.Response, error) {
+	c.boundHead()
+	defer c.unboundHead()
 	for range maxInterim {
-		resp, err := http.ReadResponse(c.reader, req)
+		resp, err := c.readHead(req)
 		if err != nil {
 			return nil, err
 		}
@@ -147,6 +149,21 @@
 	return nil, errors.New("too many interim answers")
 }
 
+// readHead reads one head.
+func (c *conn) readHead(req *http.Request) (*http.Response, error) {
+	if err := c.checkHeadStart(); err != nil {
+		return nil, err
+	}
+	start, _ := c.reader.Peek(min(c.reader.Buffered(), maxQuotedBytes))
+	var quoted [maxQuotedBytes]byte
+	n := copy(quoted[:], start)
+	resp, err := http.ReadResponse(c.reader, req)
+	if err != nil && c.bounded.left <= 0 {
+		return nil, &HeadError{Read: maxHeadBytes, Start: string(quoted[:n])}
+	}
+	return resp, err
+}
+
 // isUnframed reports whether the end of the response body is marked only by the end of the connection.
 func isUnframed(resp *http.Response) bool {
 	return resp.ContentLength < 0 && len(resp.TransferEncoding) == 0
--- a/internal/forwarder/log.go
+++ b/internal/forwarder/log.go
@@ -95,6 +95,15 @@
 	})
 }
 
+// logBrokenResponse logs the error that ended the reading of the local upstream's response.
+func (f *Forwarder) logBrokenResponse(c *call, up *announcer.Upstream, err error) {
+	f.decisions.LogFailure(f.Timer.Now(), "responseBroke", func() []zap.Field {
+		return []zap.Field{
+			zap.String("id", c.logID()), zap.String("service", c.route.Service), zap.String("instance", up.Instance), zap.Error(err),
+		}
+	})
+}
+
 // logFailedAttempt logs an attempt that did not yield a complete response.
 func (f *Forwarder) logFailedAttempt(c *call, node string, ref *refuser.Refusal, elapsed time.Duration) {
 	f.decisions.LogFailure(f.Timer.Now(), "attemptFailed", func() []zap.Field {
--- a/internal/forwarder/upstream.go
+++ b/internal/forwarder/upstream.go
@@ -53,6 +53,7 @@
 	}
 	if err != nil {
 		nested := finish(false)
+		f.logBrokenResponse(c, up, err)
 		ref := f.brokenResponse(ctx, err)
 		if ref.Reason == refuser.UpstreamBroke {
 			ref.Outcome = refuser.Failed
--- a/internal/runner/platform_test.go
+++ b/internal/runner/platform_test.go
@@ -138,12 +138,37 @@
 	case "large":
 		fmt.Fprintf(c, "HTTP/1.1 200 OK\r\n%sContent-Length: %d\r\n\r\n", head, 1<<20)
 		_, _ = c.Write(bytes.Repeat([]byte("x"), 1<<20))
+	case "unending-head":
+		fmt.Fprintf(c, "HTTP/1.1 200 OK\r\n%s", head)
+		return sendUntilClosed(c, "Name: value\r\n")
+	case "no-response":
+		_, _ = io.WriteString(c, "none\r")
+		_, _ = io.Copy(io.Discard, c)
+		return false
+	case "unending-trailer":
+		fmt.Fprintf(c, "HTTP/1.1 200 OK\r\n%sTransfer-Encoding: chunked\r\n\r\n5\r\nhello\r\n0\r\n", head)
+		return sendUntilClosed(c, "Name: value\r\n")
+	case "large-unending-trailer":
+		fmt.Fprintf(c, "HTTP/1.1 200 OK\r\n%sTransfer-Encoding: chunked\r\n\r\n100000\r\n", head)
+		_, _ = c.Write(bytes.Repeat([]byte("x"), 1<<20))
+		_, _ = io.WriteString(c, "\r\n0\r\n")
+		return sendUntilClosed(c, "Name: value\r\n")
 	default:
 		fmt.Fprintf(c, "HTTP/1.1 200 OK\r\n%sContent-Length: %d\r\n\r\nhello%s", head, 5+len(body), body)
 	}
 	return true
 }
 
+// sendUntilClosed sends a text again and again until the connection is closed.
+func sendUntilClosed(c net.Conn, text string) bool {
+	block := strings.Repeat(text, 1000)
+	for {
+		if _, err := io.WriteString(c, block); err != nil {
+			return false
+		}
+	}
+}
+
 func (w *platformWorker) lastRequest() *http.Request {
 	w.mu.Lock()
 	defer w.mu.Unlock()
@@ -318,6 +343,9 @@
 		{"response up to the end of the connection", http.MethodGet, "/one/unframed", "key-a", "", 200, "hello", stamp(1)},
 		{"unsolicited second response", http.MethodGet, "/one/extra", "key-a", "", 200, "hello", stamp(1)},
 		{"after an unsolicited response", http.MethodGet, "/one/a", "key-a", "", 200, "hello", stamp(1)},
+		{"unending head", http.MethodPost, "/one/unending-head", "key-a", "x", 502, "", ""},
+		{"bytes that are no response", http.MethodPost, "/one/no-response", "key-a", "x", 502, "", ""},
+		{"unending trailer", http.MethodPost, "/one/unending-trailer", "key-a", "x", 502, "", ""},
 		{"route timeout", http.MethodPost, "/one/unresponsive", "key-a", "x", 504, "", ""},
 		{"before a late response", http.MethodGet, "/one/late", "key-a", "", 200, "hello", stamp(1)},
 		{"together with a late response", http.MethodGet, "/one/a", "key-a", "", 200, "hello", stamp(1)},
@@ -348,6 +376,16 @@
 	}
 }
 
+func TestPlatformStreamWithUnendingTrailerBreaksOff(t *testing.T) {
+	f := startServingPlatformFleet(t)
+	for i := range f.nodes {
+		got := f.send(i, http.MethodPost, "/one/large-unending-trailer", "key-a", fmt.Sprint("stream-", i), "x")
+		if got.err == nil {
+			t.Errorf("node %d: status %d with a body of %d bytes that looks complete", i, got.status, len(got.body))
+		}
+	}
+}
+
 func TestPlatformForwardedRequest(t *testing.T) {
 	f := startServingPlatformFleet(t)
 	got := f.send(0, http.MethodGet, "/one/a%2Fb?x=%20y", "key-a", "forwarded", "",
@@ -557,6 +595,8 @@
 	}
 	f.send(0, http.MethodPost, "/one/unresponsive", "key-a", "unresponsive", "x")
 	f.send(0, http.MethodPost, "/one/failed", "key-a", "failed", "x")
+	f.send(0, http.MethodPost, "/one/unending-head", "key-a", "unending-head", "x")
+	f.send(0, http.MethodPost, "/one/no-response", "key-a", "no-response", "x")
 	f.send(0, http.MethodGet, "/zero/a", "key-x", "unknown-key", "")
 	f.send(0, http.MethodGet, "/three/a", "key-a", "no-route", "")
 	tests := []struct {
@@ -569,6 +609,9 @@
 		}},
 		{"requestEnded", "unresponsive", []string{"outcome=unknown", "reason=deadlineExceeded", "tried=side-1", "took=", "revision="}},
 		{"attemptFailed", "unresponsive", []string{"worker=side-1", "idempotent=false", "took="}},
+		{"responseBroke", "unending-head", []string{"service=svc1", "instance=i-1", "sent 65536 bytes", "HTTP/1.1 200 OK"}},
+		{"responseBroke", "no-response", []string{"service=svc1", "instance=i-1", "without the head of a response", "none"}},
+		{"requestEnded", "unending-head", []string{"outcome=failed", "reason=upstreamBroke", "sent 65536 bytes"}},
 		{"requestRefused", "unknown-key", []string{"outcome=notRun", "reason=unauthorized", "hasKey=true", "revision=", "certificateAge="}},
 		{"requestRefused", "no-route", []string{"outcome=notRun", "reason=unknownService", "host=a.example", "path=/three/a", "revision="}},
 		{"requestEnded", "failed", []string{"outcome=whole", "status=500", "tried=side-1", "rank=", "level="}},
