Bound the headers of peers' responses and the replies of control hosts by size

A node, control host or operator's client stored whatever a control host sent in a reply, without a limit (the generated clients use io.ReadAll), and took up to net/http's default of 10 MB of response headers from a peer.

Cause: input from another party read without a limit in bytes.

Evidence: before the change TestUnendingReplyIsNotStored printed "read bytes, <nil>; want and an error", and TestPeerHeadersOverTheLimitFail "headers of 2097152 bytes were read". Both pass now, with -race.

Why it works: the transports for stored replies (fleet token, operator token) end a body at 64 MB with an error, and closing it resets the stream. Forwarded bodies are streamed and stay unbounded. A peer's headers end at 1 MB, which holds the 64 KB that an upstream may send, with HTTP/2's 32 bytes for each field.

--- a/internal/dialer/peer.go
+++ b/internal/dialer/peer.go
@@ -65,6 +65,17 @@
 	return resp, nil
 }
 
+// RoundTripBounded is like RoundTrip, but the body ends with an http.MaxBytesError beyond maxReplyBytes. It serves calls
+// whose replies are stored, not streamed.
+func (p *Peer) RoundTripBounded(req *http.Request) (*http.Response, error) {
+	resp, err := p.RoundTrip(req)
+	if err != nil {
+		return nil, err
+	}
+	resp.Body = http.MaxBytesReader(nil, resp.Body, maxReplyBytes)
+	return resp, nil
+}
+
 // roundTrip sends one request on the current connection.
 func (p *Peer) roundTrip(req *http.Request) (*http.Response, error) {
 	conn := p.current.Load()
--- a/internal/dialer/pool.go
+++ b/internal/dialer/pool.go
@@ -92,7 +92,8 @@
 		Protocols:       &protocols,
 		HTTP2:           http2Config(),
 		// Bodies are forwarded unchanged.
-		DisableCompression: true,
+		DisableCompression:     true,
+		MaxResponseHeaderBytes: maxResponseHeaderBytes,
 	}
 	if p.security.cfg == nil {
 		protocols.SetUnencryptedHTTP2(true)
--- a/internal/dialer/security.go
+++ b/internal/dialer/security.go
@@ -30,6 +30,10 @@
 	headerTimeout = 10 * time.Second
 	// MaxHeaderBytes bounds the size of the headers of a request.
 	MaxHeaderBytes = 64 << 10
+	// maxResponseHeaderBytes bounds a peer's response headers. HTTP/2 counts 32 bytes more for each field.
+	maxResponseHeaderBytes = 1 << 20
+	// maxReplyBytes bounds the body of a control host's reply.
+	maxReplyBytes = 64 << 20
 	// maxStreams bounds the concurrent requests on one connection.
 	maxStreams = 10000
 	// reloadInterval is the minimum time between checks for changed certificate files.
--- a/internal/dialer/token.go
+++ b/internal/dialer/token.go
@@ -11,7 +11,8 @@
 	token string
 }
 
-// WithToken returns a transport to a peer that adds the fleet token to each request. An empty token adds no header.
+// WithToken returns a transport to a peer that adds the fleet token to each request and bounds the body of each reply. An empty
+// token adds no header.
 func WithToken(p *Peer, token string) http.RoundTripper {
 	return &tokenTransport{peer: p, token: token}
 }
@@ -22,5 +23,5 @@
 		req = req.Clone(req.Context())
 		req.Header.Set(TokenHeader, t.token)
 	}
-	return t.peer.RoundTrip(req)
+	return t.peer.RoundTripBounded(req)
 }
--- a/internal/runner/operator.go
+++ b/internal/runner/operator.go
@@ -49,7 +49,7 @@
 func (b *bearerTransport) RoundTrip(req *http.Request) (*http.Response, error) {
 	req = req.Clone(req.Context())
 	req.Header.Set("Authorization", "Bearer "+b.token)
-	return b.peer.RoundTrip(req)
+	return b.peer.RoundTripBounded(req)
 }
 
 // Client returns an API client for one control host.
