--- a/internal/replicator/random_test.go
+++ b/internal/replicator/random_test.go
@@ -54,6 +54,7 @@
 	acknowledged uint64
 	proposed     int
 	lastWiped    uint64
+	keepDisks    bool
 }
 
 func newCluster(t *rapid.T, seed uint64, n int) *cluster {
@@ -276,7 +277,7 @@
 // replicas don't survive the loss of two disks at the same time.
 func (c *cluster) wipeDisk(h *simulatedHost) {
 	l := c.leader()
-	if l == nil || len(l.core.voters()) < 3 {
+	if c.keepDisks || l == nil || len(l.core.voters()) < 3 {
 		return
 	}
 	for _, id := range l.core.voters() {
