--- a/internal/syncer/request.go
+++ b/internal/syncer/request.go
@@ -12,7 +12,7 @@
 const (
 	// regular exchanges contain the node's workers and watches, and the accounts whose report is due.
 	regular exchangeKind = iota
-	// ahead exchanges precede the next regular one. They contain only the accounts that have news.
+	// ahead exchanges precede the next regular one. They contain the watches, and only the accounts that have news.
 	ahead
 	// leaving exchanges give up everything.
 	leaving
@@ -28,14 +28,15 @@
 	if req.Ahead {
 		s.meter.ahead.Inc(1)
 	} else {
-		s.addMembership(req)
+		s.addWorkers(req)
 	}
+	s.addWatches(req)
 	s.addDemands(req)
 	return req
 }
 
-// addMembership adds the node's workers, and the services whose workers it watches.
-func (s *Syncer) addMembership(req *schema.SyncRequest) {
+// addWorkers adds the node's workers.
+func (s *Syncer) addWorkers(req *schema.SyncRequest) {
 	if s.Node.AdminAddress.IsValid() {
 		req.AdminAddress = s.Node.AdminAddress.String()
 	}
@@ -46,6 +47,11 @@
 		// Callers of the local upstream's service may reach this node too.
 		s.watch(w.GetService())
 	}
+}
+
+// addWatches adds the services whose workers the node watches. A request that waited for a token is routed next, and needs
+// workers that have just become ready.
+func (s *Syncer) addWatches(req *schema.SyncRequest) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for service := range s.watches {
--- a/internal/syncer/syncer.go
+++ b/internal/syncer/syncer.go
@@ -454,9 +454,6 @@
 	s.nodes.Store(max(s.nodes.Load()*nodeCountDecayPercent/100, reply.GetNodes()))
 	s.interval = max(initialInterval, time.Duration(reply.GetIntervalMicros())*time.Microsecond)
 	s.exchangeLimiter.SetLimit(rate.Limit(reply.GetExchangeRate()))
-	if req.GetAhead() {
-		return
-	}
 	s.mu.Lock()
 	close(s.exchangeDone)
 	s.exchangeDone = make(chan struct{})
