Space exchanges while the leader runs late

Congestion: exchanges that wait longer than 500 ms are given up by the node, which opens a new connection and asks again, and the leader still worked on the abandoned ones.

Now the control goroutine measures by how much its 10 ms tick is late, without the time of synced writes. The share applies to the limit on exchanges ahead of the interval (down to 1/s) and stretches the interval (up to 1 s, well within the 2.5 s of a certificate). Exchanges whose node has given up are not worked on. New metric: control.lag.

It bounds the leader's load when a fleet or a shortage is larger.

--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -58,6 +58,7 @@
 	// pending holds the proposals by log index.
 	pending map[uint64]proposal
 	claims  claimBatch
+	pace    pace
 	// leading is nil unless this replica leads.
 	leading         *leadership
 	nextMaintenance time.Time
@@ -74,6 +75,7 @@
 	commands metrics.Counter
 	claims   metrics.Counter
 	demands  metrics.Counter
+	lag      metrics.Timer
 	writes   metrics.Timer
 	nodes    metrics.Gauge
 	leads    metrics.Gauge
@@ -85,6 +87,7 @@
 		work:     metrics.GetOrRegisterTimer("control.syncWork", r),
 		commands: metrics.GetOrRegisterCounter("control.commands", r),
 		demands:  metrics.GetOrRegisterCounter("control.demands", r),
+		lag:      metrics.GetOrRegisterTimer("control.lag", r),
 		claims:   metrics.GetOrRegisterCounter("control.claims", r),
 		writes:   metrics.GetOrRegisterTimer("control.syncedWrite", r),
 		nodes:    metrics.GetOrRegisterGauge("control.nodes", r),
@@ -117,7 +120,7 @@
 		cfg: p.Settings, timer: p.Timer, log: p.Log, assert: p.Assert, pool: p.Pool, store: store,
 		operatorToken: p.OperatorToken, fleetToken: p.FleetToken, work: make(chan func(time.Time), maxBatch),
 		machine: applier.New(), pending: map[uint64]proposal{}, replicaSenders: map[uint64]*replicaSender{},
-		learnedAddresses: map[uint64]netip.AddrPort{}, meter: newMeters(p.Registry),
+		learnedAddresses: map[uint64]netip.AddrPort{}, meter: newMeters(p.Registry), pace: newPace(),
 	}
 	for _, text := range p.Settings.GetSeeds() {
 		addr, err := netip.ParseAddrPort(text)
@@ -234,7 +237,7 @@
 	for {
 		select {
 		case <-tick.C:
-			c.core.Tick(c.timer.Now())
+			c.tick(c.timer.Now())
 		case f := <-c.work:
 			c.runBatch(f)
 		case <-c.tomb.Dying():
@@ -247,6 +250,11 @@
 	}
 }
 
+func (c *Controller) tick(now time.Time) {
+	c.meter.lag.Update(c.pace.recordTick(now))
+	c.core.Tick(now)
+}
+
 // runBatch runs f and the functions queued behind it, so that they share one synced write.
 func (c *Controller) runBatch(f func(now time.Time)) {
 	now := c.timer.Now()
@@ -285,6 +293,7 @@
 			return err
 		}
 		c.meter.writes.UpdateSince(start)
+		c.pace.exclude(c.timer.Since(start))
 	}
 	c.core.MarkSynced()
 	c.sendMessages(o.Messages)
--- a/internal/controller/sync.go
+++ b/internal/controller/sync.go
@@ -26,11 +26,18 @@
 	maxIntervalNodes = 400
 )
 
+// overloadedExchangeRate is the smallest limit on the exchanges per second of one node, while the leader is overloaded.
+const overloadedExchangeRate = 1
+
 // Sync handles a node's exchange. It implements the Control service.
 func (c *Controller) Sync(ctx context.Context, req *schema.SyncRequest) (*schema.SyncReply, error) {
 	start := c.timer.Now()
 	var reply *schema.SyncReply
 	err := c.do(ctx, func(now time.Time) {
+		if ctx.Err() != nil {
+			// The node has given up waiting.
+			return
+		}
 		start := c.timer.Now()
 		reply = c.sync(req, now)
 		c.meter.work.UpdateSince(start)
@@ -38,6 +45,9 @@
 	if err != nil {
 		return nil, err
 	}
+	if reply == nil {
+		return nil, ctx.Err()
+	}
 	c.meter.syncs.UpdateSince(start)
 	return reply, nil
 }
@@ -66,13 +76,24 @@
 	reply.AgeMicros = uint64(age.Microseconds())
 	reply.Delta = c.machine.Delta(req.GetHaveRevision())
 	c.leading.exchangeState(req, reply, now)
+	c.setPace(reply)
 	if req.GetEpoch() == c.leading.term {
 		c.grantTokens(req, reply, now)
 	}
 	return reply
 }
 
-// exchangeState records a node's state and adds exchange intervals and changed memberships to the reply.
+// setPace adds the time between exchanges and the limit on those ahead of it to the reply. Both give way while the control
+// goroutine runs late, so that the leader can serve its quorum and the regular exchanges.
+func (c *Controller) setPace(reply *schema.SyncReply) {
+	nodes := c.leading.liveNodes()
+	limit := min(maxExchangeRate, max(minExchangeRate, fleetExchangeRate/float64(max(1, nodes))))
+	reply.ExchangeRate = max(overloadedExchangeRate, limit*c.pace.share)
+	interval := max(minInterval, maxInterval*time.Duration(nodes)/maxIntervalNodes)
+	reply.IntervalMicros = uint64(min(maxInterval, time.Duration(float64(interval)/c.pace.share)).Microseconds())
+}
+
+// exchangeState records a node's state and adds changed memberships to the reply.
 func (l *leadership) exchangeState(req *schema.SyncRequest, reply *schema.SyncReply, now time.Time) {
 	switch {
 	case req.GetLeaving():
@@ -85,9 +106,6 @@
 		l.updateNode(req, now)
 		l.holders.recordContact(req.GetNode(), now)
 	}
-	reply.ExchangeRate = min(maxExchangeRate, max(minExchangeRate, fleetExchangeRate/float64(max(1, l.liveNodes()))))
-	interval := min(maxInterval, max(minInterval, maxInterval*time.Duration(l.liveNodes())/maxIntervalNodes))
-	reply.IntervalMicros = uint64(interval.Microseconds())
 	reply.MembershipComplete = l.isMembershipComplete(now)
 	reply.Nodes = uint32(l.liveNodes())
 	for _, w := range req.GetWatches() {
