Let calls of requests in progress wait for a slot instead of shedding them

Callers saw requests fail at their nth nested call, and requests of the deepest service refused while its slots stood empty.

Cause: a call of the local upstream that doesn't name its request had the highest class, but a random rank in it, and was shed like a request at its entry: below the level, or after a wait of 75 ms of the 700 ms that it had. A tree of five calls thus drew five times. Each such shed also lifted the level into the highest class and set the shed floor for a second, which barred every other request of the service. Class: a rule for admission at the entry applied where work has been spent.

Fix: these calls have a rank of their own above all levels. They wait oldest first, up to 2 s and as long as they can still finish. They neither count in the sample of the level nor set the floor; the level admits new requests to the capacity that they leave. Where they wait, they hold the slots of the services above, whose gates refuse new requests before any work. Requests that name their parent keep its rank and the levels as before.

--- a/internal/admitter/gate.go
+++ b/internal/admitter/gate.go
@@ -19,6 +19,8 @@
 	maxQueueTime = 400 * time.Millisecond
 	// queueFactor is the maximum wait of a request as a multiple of the mean request time.
 	queueFactor = 2
+	// maxInProgressWait is the time that a call in progress may wait for a slot.
+	maxInProgressWait = 2 * time.Second
 	// refusalTime allows for the way of a refusal back to the caller before the request's deadline.
 	refusalTime = 25 * time.Millisecond
 	// latencyWeight is the weight of a new sample in the moving average of the request time.
@@ -199,8 +201,11 @@
 }
 
 // maxWait returns how long a request may wait for a slot. A service whose typical request is short may also have long
-// requests, which tolerate a longer wait.
+// requests, which tolerate a longer wait. The work spent above a call in progress is lost if it is shed.
 func (g *Gate) maxWait(req Request) time.Duration {
+	if req.Rank == InProgress {
+		return maxInProgressWait
+	}
 	return max(minQueueTime, min(maxQueueTime, max(g.mean*queueFactor, req.MaxWait)))
 }
 
--- a/internal/admitter/level.go
+++ b/internal/admitter/level.go
@@ -41,8 +41,10 @@
 	step      float64
 	stepsDown int
 	arrived   int
-	sample    [sampleSize]Rank
-	lastSeen  [classCount]time.Time
+	// inProgress is the number of calls in progress that arrived in the current window.
+	inProgress int
+	sample     [sampleSize]Rank
+	lastSeen   [classCount]time.Time
 
 	shedAt   [classCount]time.Time
 	lastShed time.Time
@@ -53,8 +55,12 @@
 	return max(l.value, l.shedFloor(now))
 }
 
-// recordShed records that a request was shed.
+// recordShed records that a request was shed. A call in progress is shed only because its time ran out, which says nothing
+// about lower classes.
 func (l *level) recordShed(r Rank, now time.Time) {
+	if r == InProgress {
+		return
+	}
 	l.shedAt[r.class()%classCount] = now
 	l.lastShed = now
 }
@@ -75,6 +81,10 @@
 
 // recordArrival counts a request that arrived in the current window.
 func (l *level) recordArrival(r Rank, now time.Time) {
+	if r == InProgress {
+		l.inProgress++
+		return
+	}
 	l.sample[l.arrived%sampleSize] = r
 	l.arrived++
 	l.lastSeen[r.class()%classCount] = now
@@ -100,7 +110,7 @@
 	case p == relaxed && l.value > 0:
 		l.lower(now)
 	}
-	l.arrived = 0
+	l.arrived, l.inProgress = 0, 0
 }
 
 func (l *level) raise(capacity float64) {
@@ -110,7 +120,7 @@
 	}
 	ranks := slices.Clone(l.sample[:min(l.arrived, sampleSize)])
 	slices.Sort(ranks)
-	admitShare := capacity * headroom / float64(l.arrived)
+	admitShare := max(0, capacity*headroom-float64(l.inProgress)) / float64(l.arrived)
 	if admitShare >= 1 {
 		return
 	}
--- a/internal/admitter/queue.go
+++ b/internal/admitter/queue.go
@@ -13,14 +13,15 @@
 	fifo       bool
 }
 
-// queue is a heap of waiters, ordered by rank from the highest and among equal ranks from the newest.
+// queue is a heap of waiters, ordered by rank from the highest and among equal ranks from the newest. Calls in progress
+// are ordered from the oldest, since each of them can still finish.
 type queue []*waiter
 
 func (q queue) Len() int { return len(q) }
 
 func (q queue) Less(i, j int) bool {
 	a, b := q[i], q[j]
-	if a.fifo {
+	if a.fifo || (a.req.Rank == InProgress && b.req.Rank == InProgress) {
 		return a.sequence < b.sequence
 	}
 	if a.req.Rank != b.req.Rank {
--- a/internal/admitter/rank.go
+++ b/internal/admitter/rank.go
@@ -15,6 +15,10 @@
 // admits min(demand, t·rate) of each account, and admits the same requests at every hop of a call chain.
 type Rank uint32
 
+// InProgress is the rank of a call that is part of a request in progress at an unknown host. The request was admitted at
+// its entry, so no admission level sheds the call. It waits for a slot as long as its deadline allows.
+const InProgress Rank = math.MaxUint32
+
 const (
 	// priorityBits is the number of bits of the account's priority within the effective priority.
 	priorityBits = 4
--- a/internal/admitter/refusal_time_test.go
+++ b/internal/admitter/refusal_time_test.go
@@ -15,6 +15,7 @@
 		rank Rank
 	}{
 		{"root request", NewRank(1, 1, []byte{0, 0, 0, 1}, 1, 1)},
+		{"call in progress", InProgress},
 	}
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
--- a/internal/forwarder/root.go
+++ b/internal/forwarder/root.go
@@ -199,7 +199,7 @@
 	switch {
 	case caller.policy == nil && req.FromLocalUpstream:
 		// A call of the local upstream that does not name its parent request: work was already spent on that request.
-		importance, priority = resolver.MaxImportance, resolver.MaxPriority
+		return admitter.InProgress
 	case caller.policy != nil:
 		priority = caller.policy.Priority
 		if caller.policy.Importance != nil {
