Count admissions and rate refusals by client account

Logs of whole responses are sampled, so they can't tell whether a client account was admitted at its rate. Counters by account at the metrics address can, summed over the nodes.

--- a/internal/exporter/exporter.go
+++ b/internal/exporter/exporter.go
@@ -22,7 +22,8 @@
 func Write(w io.Writer, r metrics.Registry, a *asserter.Asserter) error {
 	var lines []string
 	r.Each(func(name string, metric any) {
-		lines = append(lines, formatMetric(metricName(name), metric)...)
+		name, labels := splitLabels(name)
+		lines = append(lines, formatMetric(metricName(name), labels, metric)...)
 	})
 	for _, c := range a.Counts() {
 		lines = append(lines,
@@ -34,11 +35,24 @@
 	return err
 }
 
-// formatMetric returns the lines of a metric, or nil if its type isn't supported.
-func formatMetric(name string, metric any) []string {
+// Labeled returns the registry's name of one of several counters that differ by a label.
+func Labeled(name, label, value string) string {
+	return fmt.Sprintf("%s{%s=%q}", name, label, value)
+}
+
+// splitLabels splits a name that Labeled returned into the name and the labels in braces.
+func splitLabels(name string) (base, labels string) {
+	if i := strings.IndexByte(name, '{'); i >= 0 {
+		return name[:i], name[i:]
+	}
+	return name, ""
+}
+
+// formatMetric returns the lines of a metric, or nil if its type isn't supported. Only counters have labels.
+func formatMetric(name, labels string, metric any) []string {
 	switch m := metric.(type) {
 	case metrics.Counter:
-		return []string{fmt.Sprintf("%s_total %d", name, m.Count())}
+		return []string{fmt.Sprintf("%s_total%s %d", name, labels, m.Count())}
 	case metrics.Gauge:
 		return []string{fmt.Sprintf("%s %d", name, m.Value())}
 	case metrics.GaugeFloat64:
--- a/internal/forwarder/forwarder.go
+++ b/internal/forwarder/forwarder.go
@@ -159,6 +159,7 @@
 	retries      metrics.Counter
 	reroutes     metrics.Counter
 	upstreamTime metrics.Timer
+	accounts     *accountMeters
 	registry     metrics.Registry
 }
 
@@ -170,6 +171,7 @@
 		retries:      metrics.GetOrRegisterCounter("retries", r),
 		reroutes:     metrics.GetOrRegisterCounter("reroutes", r),
 		upstreamTime: metrics.GetOrRegisterTimer("gate.upstreamTime", r),
+		accounts:     &accountMeters{registry: r, byAccount: map[string]*accountMeter{}},
 		registry:     r,
 	}
 }
--- a/internal/forwarder/root.go
+++ b/internal/forwarder/root.go
@@ -309,6 +309,7 @@
 	bucket := f.Control.Bucket(policy.Account)
 	switch bucket.Take(ctx, c.route.Importance, maxTokenWait(c.route), f.remaining(c.deadline)/2) {
 	case limiter.Admitted:
+		f.meters.accounts.of(policy.Account).admitted.Inc(1)
 		return nil
 	case limiter.Canceled:
 		return contextRefusal(ctx, refuser.NotRun)
@@ -318,6 +319,7 @@
 		if ref := contextRefusal(ctx, refuser.NotRun); ref != nil {
 			return ref
 		}
+		f.meters.accounts.of(policy.Account).rateLimited.Inc(1)
 		return refuser.NewRetryable(refuser.NotRun, refuser.RateLimited, "the client account is over its rate",
 			retrier.RetryAfter(retrier.Rate, c.route.ObjectiveLatency, bucket.RestrictedFor(), rand.Float64()))
 	}
