Grant tokens ahead only to nodes that are likely to use them

Callers of small client accounts that were well within their rate were refused as rateLimited on deployments with many nodes, from the first second on.

Cause: each node asked for one token plus 1.5 s of its demand ahead, and the owner granted that to whichever node asked first, whatever its part of the demand. With 66 nodes and a burst of 7 the first few nodes held their tokens unused for 2.5 s.

Now a node gets tokens ahead up to its part, by demand, of what all nodes may hold ahead, less what it holds, and none if that is less than one token. Demand below the rate counts as the rate, so that the first nodes to report don't get everything. Waiting requests get all that they need while twice that is available; before, that also took half of the burst. The limits on available and outstanding tokens are unchanged.

--- a/internal/limiter/pool.go
+++ b/internal/limiter/pool.go
@@ -186,7 +186,7 @@
 	demand := p.demand(now)
 	tokens := 0.0
 	if !p.yields(req, holder, now) {
-		tokens = p.grantable(p.share(req, demand), float64(req.Waiting), now)
+		tokens = p.grantable(p.share(holder, req, demand), float64(req.Waiting), now)
 	}
 	if tokens > 0 {
 		p.available -= tokens
@@ -230,15 +230,16 @@
 	return total
 }
 
-// share returns how many of the available tokens one node gets: all that it wants if plenty are available, and
-// otherwise a part in proportion to its demand. A part below one token is rounded up for a node with waiting requests,
-// and is zero for other nodes.
-func (p *pool) share(req GrantRequest, demand float64) float64 {
-	want := max(0, req.Want)
-	if want == 0 || p.available < 1 {
+// share returns how many of the available tokens one node gets: all that its waiting requests need if plenty are
+// available, and otherwise a part in proportion to its demand. A part below one token is rounded up for a node with
+// waiting requests, and is zero for other nodes.
+func (p *pool) share(holder *holderState, req GrantRequest, demand float64) float64 {
+	waiting := min(max(0, req.Want), float64(req.Waiting))
+	want := waiting + min(max(0, req.Want)-waiting, p.prefetch(holder, req.Demand, demand))
+	if want <= 0 || p.available < 1 {
 		return 0
 	}
-	if p.available > p.burst/2 && p.available >= 2*want {
+	if p.available >= 2*want {
 		return want
 	}
 	fair := p.available
@@ -254,6 +255,17 @@
 	return min(want, fair)
 }
 
+// prefetch returns how many tokens a node may get for future requests: its part, by demand, of what all nodes may hold
+// for them, less what it holds. A part below one token would mostly expire unused while requests wait at other nodes.
+func (p *pool) prefetch(holder *holderState, nodeDemand, demand float64) float64 {
+	part := p.maxOutstanding() * prefetchShare * nodeDemand / max(demand, p.rate)
+	tokens := part - (holder.granted - holder.settled)
+	if tokens < 1 {
+		return 0
+	}
+	return tokens
+}
+
 // check asserts that available and outstanding tokens stay within the limit.
 func (p *pool) check(now time.Time) {
 	sum := p.available + p.outstanding
