--- a/internal/limiter/wide_test.go
+++ b/internal/limiter/wide_test.go
@@ -133,28 +133,47 @@
 	}
 }
 
+// manyNodesTest is the load of an account whose requests arrive at random at many nodes.
+type manyNodesTest struct {
+	rate float64
+	load float64
+}
+
+// run checks for small and large fleets that nearly all requests are admitted, also in the first seconds.
+func (tt manyNodesTest) run(t *testing.T) {
+	const seconds, want = 6, 0.97
+	for _, nodes := range []int{16, 66} {
+		t.Run(fmt.Sprintf("%d nodes, rate %v, load %v", nodes, tt.rate, tt.load), func(t *testing.T) {
+			w := wideFleet{nodes: nodes, rate: tt.rate, seconds: seconds, load: func(time.Duration) float64 { return tt.load }}
+			count := w.simulateSeeds(t)
+			first, all := count.ratio(0, 2), count.ratio(0, seconds)
+			if first < want || all < want {
+				t.Errorf("admitted %.3f of the requests in the first two seconds and %.3f in all, want %v", first, all, want)
+			}
+		})
+	}
+}
+
 // TestManyNodesAdmitWithinRate guards against requests of an account within its rate that are refused because their
 // tokens lie unused at other nodes.
 func TestManyNodesAdmitWithinRate(t *testing.T) {
-	tests := []struct {
-		rate float64
-		load float64
-	}{
+	tests := []manyNodesTest{
 		{rate: 7, load: 0.5},
 		{rate: 15, load: 0.5},
 		{rate: 15, load: 0.8},
 	}
-	const seconds = 6
-	for _, nodes := range []int{16, 66} {
-		for _, tt := range tests {
-			t.Run(fmt.Sprintf("%d nodes, rate %v, load %v", nodes, tt.rate, tt.load), func(t *testing.T) {
-				w := wideFleet{nodes: nodes, rate: tt.rate, seconds: seconds, load: func(time.Duration) float64 { return tt.load }}
-				count := w.simulateSeeds(t)
-				first, all := count.ratio(0, 2), count.ratio(0, seconds)
-				if first < 0.97 || all < 0.97 {
-					t.Errorf("admitted %.3f of the requests in the first two seconds and %.3f in all, want 0.97", first, all)
-				}
-			})
-		}
+	for _, tt := range tests {
+		tt.run(t)
+	}
+}
+
+// TestSmallAccountNearItsRateIsRefused guards against the same for small accounts that use nearly all of their rate.
+func TestSmallAccountNearItsRateIsRefused(t *testing.T) {
+	tests := []manyNodesTest{
+		{rate: 7, load: 0.8},
+		{rate: 7, load: 0.9},
+	}
+	for _, tt := range tests {
+		tt.run(t)
 	}
 }
