Report a broken-off response after a failed nested call as final

Callers got 502 after their request had run twice at the service whose nested call had failed. Retries multiply that way: each hop above a failure may retry, so that a deep failure is repeated at several levels.

Cause: when the upstream's response broke off, runUpstream set Final on its refusal, but not on the report that goes to the previous hop. The previous hop reads only the report, and retried. The local hop was right. Class: one fact kept in two places.

Now the report is marked, and the refusal takes its value from the report, as for complete responses.

TestBrokenAfterNestedFailureRetried failed before: "/n0 ran 2 times, want at most 1: 502", the same for three more of five.

--- a/internal/forwarder/upstream.go
+++ b/internal/forwarder/upstream.go
@@ -58,8 +58,11 @@
 		if ref.Reason == refuser.UpstreamBroke {
 			ref.Outcome = refuser.Failed
 		}
-		ref.Final = nested.failed || nested.shed
-		return nil, ref, f.newReport(up, c, nested)
+		report := f.newReport(up, c, nested)
+		report.shed = nested.shed
+		report.final = nested.failed || nested.shed
+		ref.Final = report.final
+		return nil, ref, report
 	}
 	if resp.isComplete() {
 		nested := finish(resp.status == http.StatusServiceUnavailable)
--- a/internal/runner/failure_test.go
+++ b/internal/runner/failure_test.go
@@ -471,3 +471,47 @@
 	}
 	group.Wait()
 }
+
+// TestBrokenAfterNestedFailureRetried breaks off the response of an upstream whose nested call has failed. Only the hop of the
+// nested call may retry.
+func TestBrokenAfterNestedFailureRetried(t *testing.T) {
+	f := startFleet(t, twoServiceFleet())
+	var mu sync.Mutex
+	runs := map[string]int{}
+	for _, w := range f.Workers {
+		if err := w.Responder.Stop(); err != nil {
+			t.Fatal(err)
+		}
+		w.responderConfig.Handler = func(rw http.ResponseWriter, r *http.Request) {
+			if w.Service == "back" {
+				rw.WriteHeader(http.StatusServiceUnavailable)
+				return
+			}
+			send(r.Context(), w, "", http.MethodPost, "/back/a", "", "Lavenderhub-Request", r.Header.Get("Lavenderhub-Request"))
+			mu.Lock()
+			runs[r.URL.Path]++
+			mu.Unlock()
+			panic(http.ErrAbortHandler)
+		}
+		if err := f.StartResponder(w); err != nil {
+			t.Fatal(err)
+		}
+	}
+	// The node watches the workers of a service from its first call on.
+	send(t.Context(), f.Workers[2], f.Keys[0].Key, http.MethodGet, "/front/first", "")
+	waitUntil(t, "both workers are known", func() bool { return f.Workers[2].router.ReadyWorkers("front") == 2 })
+	for n := range 5 {
+		path := fmt.Sprintf("/n%d", n)
+		r := send(t.Context(), f.Workers[2], f.Keys[0].Key, http.MethodGet, "/front"+path, "")
+		mu.Lock()
+		if runs[path] > 1 {
+			t.Errorf("%s ran %d times, want at most 1: %d %s", path, runs[path], r.status, r.body)
+		}
+		mu.Unlock()
+	}
+	mu.Lock()
+	defer mu.Unlock()
+	if len(runs) == 0 {
+		t.Error("no request reached an upstream")
+	}
+}
