Admit a share of the requests of one rank while a service fails

Callers whose request makes calls of its own would get upstreamFailing (503) for nearly all of these calls once more than half of a service's requests fail. Equal ranks now stand in random order, so that the share that the throttle aims at is admitted.

--- a/internal/retrier/throttle.go
+++ b/internal/retrier/throttle.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"math/rand/v2"
 	"sync"
 	"time"
 )
@@ -28,11 +29,13 @@
 	at        time.Time
 	ranks     [throttleRanks]uint32
 	seen      int
+	// draw returns a random number in [0, 1).
+	draw func() float64
 }
 
 // NewThrottle returns a Throttle that admits all requests until failures are recorded.
 func NewThrottle() *Throttle {
-	return &Throttle{}
+	return &Throttle{draw: rand.Float64}
 }
 
 func (t *Throttle) decay(now time.Time) {
@@ -58,14 +61,23 @@
 	if excess <= 0 {
 		return true
 	}
-	lower := 0
 	recent := t.ranks[:min(t.seen, throttleRanks)]
+	return t.position(rank, recent) >= min(excess, 1-throttleMinShare)*float64(len(recent))
+}
+
+// position returns where a rank stands among recent ones. Equal ranks stand in random order, so that a share of them is
+// admitted.
+func (t *Throttle) position(rank uint32, recent []uint32) float64 {
+	lower, equal := 0, 0
 	for _, r := range recent {
-		if r < rank {
+		switch {
+		case r < rank:
 			lower++
+		case r == rank:
+			equal++
 		}
 	}
-	return float64(lower) >= min(excess, 1-throttleMinShare)*float64(len(recent))
+	return float64(lower) + t.draw()*float64(equal)
 }
 
 // Count records a request that ran, and whether it succeeded.
