Make a requested regular exchange although a request waits for a token

A node that has to report a drain or a new state of its upstream asks for a regular exchange at once. When a request waited for a token at the same moment, either of the two wake-ups was taken at random, and an exchange ahead of the interval, which names no workers, could go first: the report waited for the interval, up to a second in large fleets.

TestTokenWakeupDelaysRegularExchange failed before: "next exchange of kind 1, want a regular one".

--- a/internal/syncer/syncer.go
+++ b/internal/syncer/syncer.go
@@ -320,13 +320,23 @@
 		_ = s.exchangeLimiter.Wait(ctx)
 	case <-s.tokenWakeups:
 		_ = s.exchangeLimiter.Wait(ctx)
-		if s.Timer.Now().Before(s.regularAt) {
+		if s.Timer.Now().Before(s.regularAt) && !s.isWoken() {
 			return ahead
 		}
 	}
 	return regular
 }
 
+// isWoken reports whether a regular exchange was requested, and withdraws the request.
+func (s *Syncer) isWoken() bool {
+	select {
+	case <-s.wakeups:
+		return true
+	default:
+		return false
+	}
+}
+
 // errNotServed is returned when a control host can't serve the exchange.
 var errNotServed = errors.New("control host does not lead")
 
--- a/internal/syncer/syncer_test.go
+++ b/internal/syncer/syncer_test.go
@@ -159,3 +159,16 @@
 		t.Errorf("the last grant is %v old", got.GrantAge)
 	}
 }
+
+// TestTokenWakeupDelaysRegularExchange guards against drains that wait because a request also waits for a token.
+func TestTokenWakeupDelaysRegularExchange(t *testing.T) {
+	for range 50 {
+		s := New(Parts{Timer: timer.New(), Log: zap.NewNop(), Registry: metrics.NewRegistry()})
+		s.regularAt = s.Timer.Now().Add(time.Minute)
+		s.wakeForTokens()
+		s.Wake()
+		if kind := s.waitForNext(t.Context(), nil); kind != regular {
+			t.Fatalf("next exchange of kind %d, want a regular one", kind)
+		}
+	}
+}
