Start calls in progress only while a mean run time is left

Calls of requests in progress are served from the oldest, so that under a lasting overload each starts at its last moment. That moment left half of the mean run time: callers would get 504 for work that ran until its deadline. These calls now need a whole mean; the queue uses the same rule at both places.

--- a/internal/admitter/gate.go
+++ b/internal/admitter/gate.go
@@ -212,7 +212,12 @@
 // lastStart returns the time after which a request is refused because it can't finish by its deadline. The refusal must
 // reach the hosts above before they end the call themselves.
 func (g *Gate) lastStart(req Request) time.Time {
-	return req.Deadline.Add(-g.mean/2 - refusalTime)
+	runTime := g.mean / 2
+	if req.Rank == InProgress {
+		// These calls are served from the oldest, so that under a lasting overload all of them start at their last moment.
+		runTime = g.mean
+	}
+	return req.Deadline.Add(-runTime - refusalTime)
 }
 
 func (g *Gate) await(ctx context.Context, w *waiter, wait time.Duration) (Ticket, Decision) {
@@ -282,7 +287,7 @@
 func (g *Gate) dispatch(now time.Time) {
 	for g.queue.Len() > 0 && g.inflight < g.limit.current() {
 		w := heap.Pop(&g.queue).(*waiter)
-		if w.req.Deadline.Sub(now) < g.mean/2 {
+		if now.After(g.lastStart(w.req)) {
 			w.decision <- DeadlineExceeded
 			continue
 		}
--- a/internal/admitter/refusal_time_test.go
+++ b/internal/admitter/refusal_time_test.go
@@ -33,3 +33,20 @@
 		})
 	}
 }
+
+// TestCallInProgressStartsTooLateToFinish guards against calls that run until their deadline and answer nobody.
+func TestCallInProgressStartsTooLateToFinish(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := New(1, timer.New(), nil, WithStaticLimit())
+		g.mean = 100 * time.Millisecond
+		first, d := g.Admit(t.Context(), Request{Deadline: time.Now().Add(time.Hour)})
+		if d != Admitted {
+			t.Fatalf("decision %v from an idle gate", d)
+		}
+		deadline := time.Now().Add(200 * time.Millisecond)
+		time.AfterFunc(110*time.Millisecond, func() { first.Done(Sample{Total: g.mean}) })
+		if _, d := g.Admit(t.Context(), Request{Rank: InProgress, Deadline: deadline}); d != DeadlineExceeded {
+			t.Errorf("decision %v with %s left of a mean time of %s, want %v", d, time.Until(deadline), g.mean, DeadlineExceeded)
+		}
+	})
+}
