Serve replicas' messages before exchanges at the control leader

Cause: the messages that keep the quorum waited in one queue with the nodes' exchanges, up to 512 of them in a batch, on a host with a quarter of a core; late ones replaced a healthy leader. Exchanges that came too late were still decoded and answered, and the nodes, having given up, dropped their connections and tried again elsewhere. Change: messages of replicas and ticks have a queue of their own and are looked at between any two exchanges; a batch lasts 5 ms at most; at most 32 exchanges are decoded at a time, others wait 250 ms and are then rejected as busy, and a node that hears so keeps its host and connection. Heartbeats come each 100 ms in place of 50, each 400 ms to learners without missing entries, and an election starts after 0.5 s in place of 0.3: with nine hosts the leader handled 320 messages of replicas a second, as much work as the exchanges. Regular exchanges of the fleet together stay at 250 a second up to 250 nodes (400 before).

--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -28,6 +28,8 @@
 	maintenanceInterval = 100 * time.Millisecond
 	// maxBatch bounds the calls that share one synced write.
 	maxBatch = 512
+	// maxBatchTime bounds the time for which ticks and messages of other replicas wait behind a batch.
+	maxBatchTime = 5 * time.Millisecond
 	// compactionThreshold is the number of log entries at which the log is compacted.
 	compactionThreshold = 5000
 	// stopTimeout bounds the leadership transfer before a planned stop.
@@ -48,8 +50,13 @@
 	operatorToken string
 	fleetToken    string
 
-	work  chan func(now time.Time)
-	tomb  tomb.Tomb
+	// urgent holds the messages of other replicas, which precede work: a late heartbeat costs the fleet its leader, a late
+	// exchange one node a few milliseconds.
+	urgent chan func(now time.Time)
+	work   chan func(now time.Time)
+	tomb   tomb.Tomb
+	// exchangeSlots bounds the exchanges that are decoded at a time.
+	exchangeSlots chan struct{}
 	meter meters
 
 	// Only the control goroutine accesses the fields below.
@@ -75,6 +82,8 @@
 	commands metrics.Counter
 	claims   metrics.Counter
 	demands  metrics.Counter
+	// rejected counts the exchanges that were rejected because too many waited.
+	rejected metrics.Counter
 	lag      metrics.Timer
 	writes   metrics.Timer
 	nodes    metrics.Gauge
@@ -87,6 +96,7 @@
 		work:     metrics.GetOrRegisterTimer("control.syncWork", r),
 		commands: metrics.GetOrRegisterCounter("control.commands", r),
 		demands:  metrics.GetOrRegisterCounter("control.demands", r),
+		rejected: metrics.GetOrRegisterCounter("control.rejected", r),
 		lag:      metrics.GetOrRegisterTimer("control.lag", r),
 		claims:   metrics.GetOrRegisterCounter("control.claims", r),
 		writes:   metrics.GetOrRegisterTimer("control.syncedWrite", r),
@@ -119,6 +129,7 @@
 	c := &Controller{
 		cfg: p.Settings, timer: p.Timer, log: p.Log, assert: p.Assert, pool: p.Pool, store: store,
 		operatorToken: p.OperatorToken, fleetToken: p.FleetToken, work: make(chan func(time.Time), maxBatch),
+		urgent: make(chan func(time.Time), maxBatch), exchangeSlots: make(chan struct{}, maxExchanges),
 		machine: applier.New(), pending: map[uint64]proposal{}, replicaSenders: map[uint64]*replicaSender{},
 		learnedAddresses: map[uint64]netip.AddrPort{}, meter: newMeters(p.Registry), pace: newPace(),
 	}
@@ -208,13 +219,22 @@
 // do runs f on the control goroutine and waits until it has returned. It returns ctx's error if ctx ends before f is queued,
 // and ErrStopping if the controller begins to stop before f has returned.
 func (c *Controller) do(ctx context.Context, f func(now time.Time)) error {
+	return c.runOn(ctx, c.work, f)
+}
+
+// doUrgent is like do, but f precedes everything that do has queued.
+func (c *Controller) doUrgent(ctx context.Context, f func(now time.Time)) error {
+	return c.runOn(ctx, c.urgent, f)
+}
+
+func (c *Controller) runOn(ctx context.Context, queue chan<- func(time.Time), f func(now time.Time)) error {
 	done := make(chan struct{})
 	task := func(now time.Time) {
 		f(now)
 		close(done)
 	}
 	select {
-	case c.work <- task:
+	case queue <- task:
 	case <-ctx.Done():
 		return ctx.Err()
 	case <-c.tomb.Dying():
@@ -238,11 +258,14 @@
 		select {
 		case <-tick.C:
 			c.tick(c.timer.Now())
+		case f := <-c.urgent:
+			f(c.timer.Now())
 		case f := <-c.work:
 			c.runBatch(f)
 		case <-c.tomb.Dying():
 			return nil
 		}
+		c.runUrgent(tick.C)
 		c.runMaintenance(c.timer.Now())
 		if err := c.flush(); err != nil {
 			return err
@@ -255,11 +278,16 @@
 	c.core.Tick(now)
 }
 
-// runBatch runs f and the functions queued behind it, so that they share one synced write.
+// runBatch runs f and the functions queued behind it, so that they share one synced write. It ends early when messages of
+// other replicas wait or its time is over.
 func (c *Controller) runBatch(f func(now time.Time)) {
-	now := c.timer.Now()
-	f(now)
+	start := c.timer.Now()
+	f(start)
 	for range maxBatch {
+		now := c.timer.Now()
+		if len(c.urgent) > 0 || now.Sub(start) >= maxBatchTime {
+			return
+		}
 		select {
 		case f = <-c.work:
 			f(now)
@@ -269,6 +297,20 @@
 	}
 }
 
+// runUrgent handles the tick and the messages of other replicas that wait.
+func (c *Controller) runUrgent(tick <-chan time.Time) {
+	for range maxBatch {
+		select {
+		case <-tick:
+			c.tick(c.timer.Now())
+		case f := <-c.urgent:
+			f(c.timer.Now())
+		default:
+			return
+		}
+	}
+}
+
 // flush handles the replica's output until there is none left.
 func (c *Controller) flush() error {
 	c.proposeClaims()
@@ -347,11 +389,5 @@
 
 // leaderAddress returns the address of the leader, or an empty string if no leader is known.
 func (c *Controller) leaderAddress() string {
-	s := c.core.Status()
-	for _, r := range s.Replicas {
-		if r.GetId() == s.Leader {
-			return r.GetAddress()
-		}
-	}
-	return ""
+	return c.core.Leader().GetAddress()
 }
--- a/internal/controller/handler.go
+++ b/internal/controller/handler.go
@@ -1,6 +1,7 @@
 package controller
 
 import (
+	"context"
 	"crypto/sha256"
 	"crypto/subtle"
 	"net/http"
@@ -13,6 +14,9 @@
 	"github.com/lavenderhub/lavenderhub/schema"
 )
 
+// syncMethod is the last part of the path of an exchange.
+const syncMethod = "Sync"
+
 // LeaderAddressMeta is the key of the leader's address in the metadata of a NotLeaderError.
 const LeaderAddressMeta = "leaderAddress"
 
@@ -32,6 +36,7 @@
 	admin := schema.NewAdminServer(c)
 	mux := http.NewServeMux()
 	mux.Handle(control.PathPrefix(), c.requireFleetToken(control))
+	mux.Handle(control.PathPrefix()+syncMethod, c.requireFleetToken(c.boundExchanges(control)))
 	mux.Handle(replica.PathPrefix(), c.requireFleetToken(replica))
 	mux.Handle(admin.PathPrefix(), c.requireOperatorToken(admin))
 	mux.HandleFunc(dialer.PingPath, func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusNoContent) })
@@ -49,6 +54,37 @@
 	})
 }
 
+// boundExchanges bounds the exchanges that are decoded and queued at a time, so that those that come in faster than they
+// can be served cost little and leave the processor to the replicas' messages.
+func (c *Controller) boundExchanges(h http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		select {
+		case c.exchangeSlots <- struct{}{}:
+		default:
+			if !c.awaitExchangeSlot(r.Context()) {
+				c.meter.rejected.Inc(1)
+				_ = twirp.WriteError(w, twirp.NewError(twirp.ResourceExhausted, "the control host is busy; try again later"))
+				return
+			}
+		}
+		defer func() { <-c.exchangeSlots }()
+		h.ServeHTTP(w, r)
+	})
+}
+
+// awaitExchangeSlot waits for a slot for at most exchangeWait and reports whether it got one.
+func (c *Controller) awaitExchangeSlot(ctx context.Context) bool {
+	sub := c.timer.After(exchangeWait)
+	defer sub.Stop()
+	select {
+	case c.exchangeSlots <- struct{}{}:
+		return true
+	case <-sub.C:
+	case <-ctx.Done():
+	}
+	return false
+}
+
 // requireOperatorToken rejects requests without the operator token.
 func (c *Controller) requireOperatorToken(h http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
--- a/internal/controller/leadership.go
+++ b/internal/controller/leadership.go
@@ -69,8 +69,7 @@
 // updateLeadership creates or drops the leader's state after a change of role or term. It fails pending proposals when this
 // replica no longer leads.
 func (c *Controller) updateLeadership(now time.Time) {
-	s := c.core.Status()
-	if s.Role != replicator.Leader && len(c.pending) > 0 {
+	if c.core.Role() != replicator.Leader && len(c.pending) > 0 {
 		c.failPending()
 	}
 	if !c.core.IsReady() {
@@ -81,9 +80,10 @@
 		}
 		return
 	}
-	if c.leading != nil && c.leading.term == s.Term {
+	if c.leading != nil && c.leading.term == c.core.Term() {
 		return
 	}
+	s := c.core.Status()
 	c.leading = &leadership{
 		term: s.Term, start: now, owner: limiter.NewOwner(now, c.carryover(), c.assert),
 		nodes: map[string]*nodeState{}, services: map[string]*serviceState{}, holders: newHolders(c.machine.Holders(), now),
--- a/internal/controller/replica_sender.go
+++ b/internal/controller/replica_sender.go
@@ -77,7 +77,7 @@
 // addressOf returns the address of a replica from the current replica set. If the set does not contain the replica, it
 // returns the address that the replica sent with its messages while this one was blank.
 func (c *Controller) addressOf(id uint64) (netip.AddrPort, bool) {
-	for _, r := range c.core.Status().Replicas {
+	for _, r := range c.core.Replicas() {
 		if r.GetId() == id {
 			addr, err := netip.ParseAddrPort(r.GetAddress())
 			return addr, err == nil
@@ -137,7 +137,7 @@
 // Step handles messages from another replica. It implements the Replica service.
 func (c *Controller) Step(ctx context.Context, req *schema.StepRequest) (*schema.StepReply, error) {
 	address, addrErr := netip.ParseAddrPort(req.GetAddress())
-	err := c.do(ctx, func(now time.Time) {
+	err := c.doUrgent(ctx, func(now time.Time) {
 		if addrErr == nil && c.core.IsBlank() {
 			c.learnedAddresses[req.GetId()] = address
 		}
--- a/internal/controller/sync.go
+++ b/internal/controller/sync.go
@@ -23,7 +23,14 @@
 const (
 	minInterval      = 250 * time.Millisecond
 	maxInterval      = time.Second
-	maxIntervalNodes = 400
+	maxIntervalNodes = 250
+)
+
+// maxExchanges bounds the exchanges that are decoded at a time, and exchangeWait the time that others wait for it. Beyond it
+// they are rejected before they cost more: the node would give up before its reply.
+const (
+	maxExchanges = 32
+	exchangeWait = 250 * time.Millisecond
 )
 
 // overloadedExchangeRate is the smallest limit on the exchanges per second of one node, while the leader is overloaded.
@@ -68,7 +75,7 @@
 		reply.Status = schema.ReplyStatus_REPLY_STATUS_NOT_CONFIRMED
 		return reply
 	}
-	age := now.Sub(c.core.Status().ConfirmedAt)
+	age := now.Sub(c.core.ConfirmedAt())
 	c.assert.Check(asserter.FreshWhenKeyed, age >= 0, "")
 	reply.Status = schema.ReplyStatus_REPLY_STATUS_OK
 	reply.Epoch = c.leading.term
@@ -174,7 +181,7 @@
 
 func (c *Controller) controlAddresses() []string {
 	var out []string
-	for _, r := range c.core.Status().Replicas {
+	for _, r := range c.core.Replicas() {
 		out = append(out, r.GetAddress())
 	}
 	return out
--- a/internal/replicator/append.go
+++ b/internal/replicator/append.go
@@ -51,11 +51,27 @@
 	}
 }
 
+// sendHeartbeats sends the messages of a round: to all voters, and to the learners that lack entries or whose heartbeat is
+// due.
+func (c *Core) sendHeartbeats(now time.Time) {
+	for _, r := range c.sets.current().GetReplicas() {
+		if r.GetId() == c.id {
+			continue
+		}
+		p := c.progress[r.GetId()]
+		if r.GetLearner() && p != nil && p.match == c.log.lastIndex() && now.Sub(p.sentAt) < learnerInterval {
+			continue
+		}
+		c.sendAppend(r.GetId(), now)
+	}
+}
+
 func (c *Core) sendAppend(id uint64, now time.Time) {
 	p := c.progress[id]
 	if p == nil {
 		return
 	}
+	p.sentAt = now
 	if p.next <= c.log.baseIndex {
 		c.sendSnapshot(id, p, now)
 		return
--- a/internal/replicator/core.go
+++ b/internal/replicator/core.go
@@ -13,10 +13,14 @@
 
 const (
 	// HeartbeatInterval is the time between a leader's heartbeat rounds.
-	HeartbeatInterval = 50 * time.Millisecond
+	HeartbeatInterval = 100 * time.Millisecond
+	// learnerInterval is the time between heartbeats to a learner that lacks no entries. A learner doesn't vote, and each
+	// heartbeat costs the leader about as much as a node's exchange.
+	learnerInterval = 4 * HeartbeatInterval
 	// ElectionTimeout is the minimum time without contact from the leader after which another may be elected. Each
-	// replica waits for a random time of at least ElectionTimeout and at most twice as long.
-	ElectionTimeout = 300 * time.Millisecond
+	// replica waits for a random time of at least ElectionTimeout and at most twice as long. It covers five heartbeats, since
+	// a process with a quarter of a core may be without it for a few hundred milliseconds.
+	ElectionTimeout = 500 * time.Millisecond
 	// LeaseDuration is how long a leader's lease lasts from the start of a round that a quorum acknowledged. It is shorter
 	// than ElectionTimeout to allow for clocks that run at different rates.
 	LeaseDuration = ElectionTimeout - ElectionTimeout/10
@@ -112,6 +116,7 @@
 	next           uint64 // next index to send
 	round          uint64 // newest round that the replica has acknowledged
 	lastContact    time.Time
+	sentAt         time.Time
 	snapshotSentAt time.Time
 }
 
@@ -214,6 +219,31 @@
 	return c.role == Leader && c.log.term(c.applied) == c.term
 }
 
+// ConfirmedAt returns the start of the newest round that a quorum has acknowledged.
+func (c *Core) ConfirmedAt() time.Time {
+	return c.confirmedAt
+}
+
+// Role returns the replica's role.
+func (c *Core) Role() Role {
+	return c.role
+}
+
+// Term returns the replica's term.
+func (c *Core) Term() uint64 {
+	return c.term
+}
+
+// Leader returns the record of the leader in the replica set, or nil if no leader is known.
+func (c *Core) Leader() *schema.ReplicaInfo {
+	return c.replica(c.leader)
+}
+
+// Replicas returns the current replica set, which must not be changed.
+func (c *Core) Replicas() []*schema.ReplicaInfo {
+	return c.sets.current().GetReplicas()
+}
+
 // SinceLeaderContact returns the time since this replica last heard from a leader. It returns zero on the leader.
 func (c *Core) SinceLeaderContact(now time.Time) time.Duration {
 	if c.role == Leader {
@@ -252,7 +282,7 @@
 	}
 	if !now.Before(c.nextHeartbeat) {
 		c.startRound(now)
-		c.sendAll(now)
+		c.sendHeartbeats(now)
 	}
 }
 
--- a/internal/replicator/replica_sets.go
+++ b/internal/replicator/replica_sets.go
@@ -177,11 +177,11 @@
 }
 
 // isCaughtUp reports whether a replica lacks at most maxLearnerLag entries, has the current replica set, and replied
-// within ElectionTimeout.
+// recently.
 func (c *Core) isCaughtUp(id uint64, now time.Time) bool {
 	p := c.progress[id]
 	return p != nil && p.match+maxLearnerLag >= c.log.lastIndex() && p.match >= c.sets.currentIndex() &&
-		now.Sub(p.lastContact) < ElectionTimeout
+		now.Sub(p.lastContact) < learnerInterval+ElectionTimeout
 }
 
 // PromotableLearners returns the learners that have caught up and may be promoted.
--- a/internal/syncer/syncer.go
+++ b/internal/syncer/syncer.go
@@ -14,6 +14,7 @@
 
 	"github.com/pkg/errors"
 	"github.com/rcrowley/go-metrics"
+	"github.com/twitchtv/twirp"
 	"go.uber.org/zap"
 	"golang.org/x/time/rate"
 	"gopkg.in/tomb.v2"
@@ -308,7 +309,11 @@
 // after a wake-up or a failure.
 func (s *Syncer) waitForNext(ctx context.Context, err error) exchangeKind {
 	if err != nil {
-		_ = s.Timer.Sleep(ctx, retryPause/2+rand.N(retryPause))
+		pause := retryPause
+		if isBusy(err) {
+			pause = max(retryPause, s.interval/2)
+		}
+		_ = s.Timer.Sleep(ctx, pause/2+rand.N(pause))
 		return regular
 	}
 	sub := s.Timer.After(max(0, s.regularAt.Sub(s.Timer.Now())))
@@ -340,6 +345,12 @@
 // errNotServed is returned when a control host can't serve the exchange.
 var errNotServed = errors.New("control host does not lead")
 
+// isBusy reports whether a control host rejected a call because too many wait.
+func isBusy(err error) bool {
+	var twirpErr twirp.Error
+	return errors.As(err, &twirpErr) && twirpErr.Code() == twirp.ResourceExhausted
+}
+
 // exchange makes one exchange with the last known leader, or with the next control host to try.
 func (s *Syncer) exchange(ctx context.Context, kind exchangeKind) error {
 	if len(s.controlHosts) == 0 {
@@ -355,6 +366,10 @@
 	s.meter.demands.Inc(int64(len(req.GetDemands())))
 	sent := s.Timer.Now()
 	reply, err := s.client(addr).Sync(ctx, req)
+	if isBusy(err) {
+		// The leader lives; another host or another connection would only add to its work.
+		return err
+	}
 	if err != nil {
 		s.useNextHost()
 		// Drop the connection, since later calls would wait for it again if it is unresponsive.
