Ask again for a token while a request of an account within its rate waits

Cause: a request whose exchange granted nothing waited until it was refused, although tokens of other nodes came back meanwhile; and tokens that waiting requests had spent counted as outstanding until the next regular report, 250 ms. Change: a waiting request of an account that is not oversubscribed asks again each 40 ms; a bucket without a lease reports at once what waiting requests have spent.

--- a/internal/limiter/bucket.go
+++ b/internal/limiter/bucket.go
@@ -23,6 +23,8 @@
 	// maxMarks limits the number of marks in one exchange, and minMarkSpacing is the shortest time between two marks.
 	maxMarks       = 16
 	minMarkSpacing = 5 * time.Millisecond
+	// askInterval is how often a waiting request asks the owner again.
+	askInterval = 40 * time.Millisecond
 	// MaxOwnerWait is the longest time that a request waits for an unresponsive owner.
 	MaxOwnerWait = 2 * time.Second
 	// MaxGrantWait is the longest time that a request waits for a granted token. A request may wait longer for the
@@ -192,19 +194,35 @@
 	}
 }
 
+// waitOnce waits for a token for at most wait. A request whose account is within its rate asks again meanwhile: the tokens may
+// just have been at other nodes.
 func (b *Bucket) waitOnce(ctx context.Context, ready chan struct{}, wait time.Duration) Decision {
 	sub := b.timer.After(wait)
 	defer sub.Stop()
-	select {
-	case <-ready:
-		return Admitted
-	case <-sub.C:
-		return OverRate
-	case <-ctx.Done():
-		return Canceled
+	again := b.timer.Every(askInterval)
+	defer again.Stop()
+	for {
+		select {
+		case <-ready:
+			return Admitted
+		case <-again.C:
+			if !b.isOversubscribed() {
+				b.wake()
+			}
+		case <-sub.C:
+			return OverRate
+		case <-ctx.Done():
+			return Canceled
+		}
 	}
 }
 
+func (b *Bucket) isOversubscribed() bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.oversubscribed
+}
+
 // countArrival adds one request to the moving average of demand.
 func (b *Bucket) countArrival(now time.Time) {
 	b.decayDemand(now)
@@ -384,7 +402,12 @@
 		b.settled = max(b.settled, batch.end-batch.tokens)
 	}
 	b.batches = append(b.batches, batch)
+	waiting := len(b.waiters)
 	b.serveWaiters(now)
+	if len(b.waiters) < waiting && b.lease.Rate == 0 {
+		// Spent tokens limit what other nodes get until they are reported.
+		b.wake()
+	}
 }
 
 // ReturnTokens gives up all tokens and the lease before a planned stop, so that the next exchange reports them as
