Draw the tokens of small client accounts through a few nodes

Cause: with 186 nodes and 140 accounts each node sees an account's request every 40 s, so nearly every request cost the control leader an exchange (610 a second beside the regular ones, on a quarter of a core), and shares of less than one token were refused. Ruled out: owners spread over the control hosts: as many exchanges, and the scattered shares stay (docs/design/011). Change: package aggregator. The leader names one of eight nodes by rendezvous hashing; these hold the tokens of accounts of which a node gets less than two requests a second, and the others ask them. The owner's accounting is unchanged, so the bound holds with any choice.

--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -57,7 +57,7 @@
 	tomb   tomb.Tomb
 	// exchangeSlots bounds the exchanges that are decoded at a time.
 	exchangeSlots chan struct{}
-	meter meters
+	meter         meters
 
 	// Only the control goroutine accesses the fields below.
 	core    *replicator.Core
--- a/internal/controller/leadership.go
+++ b/internal/controller/leadership.go
@@ -42,6 +42,7 @@
 	suspectNodes int
 	services     map[string]*serviceState
 	holders      holders
+	aggregators  aggregators
 	// carryoverEndRecorded is set once an entry that records the end of the carry-over from earlier leaders is proposed. It
 	// is cleared if the proposal fails.
 	carryoverEndRecorded bool
@@ -157,6 +158,7 @@
 		}
 	}
 	c.meter.nodes.Update(int64(c.leading.liveNodes()))
+	c.leading.refreshAggregators(now)
 	c.reconcileHolders(now)
 	c.recordCarryoverEnd(now)
 	c.reconcileReplicas(now)
@@ -234,6 +236,7 @@
 }
 
 func (l *leadership) addWorkers(n *nodeState) {
+	l.aggregators.stale = true
 	for _, w := range n.workers {
 		s := l.services[w.GetService()]
 		if s == nil {
@@ -246,6 +249,7 @@
 }
 
 func (l *leadership) removeWorkers(n *nodeState) {
+	l.aggregators.stale = true
 	for _, w := range n.workers {
 		s := l.services[w.GetService()]
 		if s == nil {
--- a/internal/controller/overload_test.go
+++ b/internal/controller/overload_test.go
@@ -77,7 +77,9 @@
 	handler := c.boundExchanges(http.HandlerFunc(func(http.ResponseWriter, *http.Request) { <-release }))
 	var group sync.WaitGroup
 	for range maxExchanges {
-		group.Go(func() { handler.ServeHTTP(httptest.NewRecorder(), httptest.NewRequest(http.MethodPost, "/", http.NoBody)) })
+		group.Go(func() {
+			handler.ServeHTTP(httptest.NewRecorder(), httptest.NewRequest(http.MethodPost, "/", http.NoBody))
+		})
 	}
 	for len(c.exchangeSlots) < maxExchanges {
 		time.Sleep(time.Millisecond)
--- a/internal/controller/sync.go
+++ b/internal/controller/sync.go
@@ -115,6 +115,7 @@
 	}
 	reply.MembershipComplete = l.isMembershipComplete(now)
 	reply.Nodes = uint32(l.liveNodes())
+	l.addAggregators(req, reply)
 	for _, w := range req.GetWatches() {
 		s := l.services[w.GetService()]
 		if s == nil {
--- a/internal/forwarder/forwarder.go
+++ b/internal/forwarder/forwarder.go
@@ -10,6 +10,7 @@
 	"github.com/rcrowley/go-metrics"
 	"go.uber.org/zap"
 
+	"github.com/lavenderhub/lavenderhub/internal/aggregator"
 	"github.com/lavenderhub/lavenderhub/internal/announcer"
 	"github.com/lavenderhub/lavenderhub/internal/asserter"
 	"github.com/lavenderhub/lavenderhub/internal/dialer"
@@ -43,8 +44,7 @@
 	IsFresh func() bool
 	// CertificateAge returns the age of the newest freshness certificate.
 	CertificateAge func() time.Duration
-	// Bucket returns this node's token bucket of a client account.
-	Bucket func(account string) *limiter.Bucket
+	Tokens         Tokens
 	// Locate requests the workers of a service from the control hosts. It returns false when the service is unknown.
 	Locate func(ctx context.Context, service string) bool
 	// Claim reserves an idempotency key.
@@ -55,6 +55,18 @@
 	Settle func(ctx context.Context, req *schema.SettleRequest) error
 }
 
+// Tokens gives the forwarder the tokens of client accounts.
+type Tokens struct {
+	// Draw takes one token.
+	Draw func(ctx context.Context, req aggregator.Request) limiter.Decision
+	// FleetDemand returns an account's demand over the whole fleet in requests per second.
+	FleetDemand func(policy *resolver.AccountPolicy) float64
+	// RestrictedFor returns how long a new owner of the tokens still restricts its grants.
+	RestrictedFor func(policy *resolver.AccountPolicy) time.Duration
+	// State returns a snapshot for logs.
+	State func(policy *resolver.AccountPolicy) limiter.State
+}
+
 // Parts are the components that a Forwarder uses.
 type Parts struct {
 	Timer     *timer.Service
--- a/internal/forwarder/log.go
+++ b/internal/forwarder/log.go
@@ -64,7 +64,8 @@
 
 // rateFields returns the log fields that explain a refusal for the account's rate.
 func (f *Forwarder) rateFields(account string) []zap.Field {
-	s, policy := f.Control.Bucket(account).State(), f.Control.View().AccountPolicy(account)
+	policy := f.Control.View().AccountPolicy(account)
+	s := f.Control.Tokens.State(policy)
 	return []zap.Field{
 		zap.Float64("rate", policy.Rate), zap.Float64("burst", policy.Burst), zap.Float64("tokens", s.Tokens),
 		zap.Float64("leased", s.Leased), zap.Float64("demand", s.Demand), zap.Float64("fleetDemand", s.FleetDemand),
--- a/internal/forwarder/peer.go
+++ b/internal/forwarder/peer.go
@@ -32,6 +32,11 @@
 	f.sendResponse(w, r, resp)
 }
 
+// IsHop reports whether a request of another node carries the token of a call to the local upstream.
+func IsHop(r *http.Request) bool {
+	return r.Header.Get(headerHop) != ""
+}
+
 // servePeerCall verifies the hop token of a call from another node and runs the call.
 func (f *Forwarder) servePeerCall(r *http.Request) (*response, *refuser.Refusal, hopReport) {
 	emptyReport := hopReport{hasSpentRetries: true}
--- a/internal/forwarder/root.go
+++ b/internal/forwarder/root.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/lavenderhub/lavenderhub/internal/admitter"
+	"github.com/lavenderhub/lavenderhub/internal/aggregator"
 	"github.com/lavenderhub/lavenderhub/internal/asserter"
 	"github.com/lavenderhub/lavenderhub/internal/authenticator"
 	"github.com/lavenderhub/lavenderhub/internal/limiter"
@@ -207,7 +208,7 @@
 			importance, priority = *caller.policy.Importance, c.route.Importance
 		}
 		if !caller.policy.Unlimited {
-			demand, rate = f.Control.Bucket(c.account).FleetDemand(), caller.policy.Rate
+			demand, rate = f.Control.Tokens.FleetDemand(caller.policy), caller.policy.Rate
 		}
 	}
 	return admitter.NewRank(importance, req.priority(priority), c.id, demand, rate)
@@ -309,8 +310,9 @@
 }
 
 func (f *Forwarder) takeToken(ctx context.Context, policy *resolver.AccountPolicy, c *call) *refuser.Refusal {
-	bucket := f.Control.Bucket(policy.Account)
-	switch bucket.Take(ctx, c.route.Importance, maxTokenWait(c.route), f.remaining(c.deadline)/2) {
+	switch f.Control.Tokens.Draw(ctx, aggregator.Request{
+		Policy: policy, Importance: c.route.Importance, MaxWait: maxTokenWait(c.route), OwnerWait: f.remaining(c.deadline) / 2,
+	}) {
 	case limiter.Admitted:
 		f.meters.accounts.of(policy.Account).admitted.Inc(1)
 		return nil
@@ -324,7 +326,7 @@
 		}
 		f.meters.accounts.of(policy.Account).rateLimited.Inc(1)
 		return refuser.NewRetryable(refuser.NotRun, refuser.RateLimited, "the client account is over its rate",
-			retrier.RetryAfter(retrier.Rate, c.route.ObjectiveLatency, bucket.RestrictedFor(), rand.Float64()))
+			retrier.RetryAfter(retrier.Rate, c.route.ObjectiveLatency, f.Control.Tokens.RestrictedFor(policy), rand.Float64()))
 	}
 }
 
@@ -376,5 +378,5 @@
 // isWithinRate reports whether an account's fleet-wide demand is within its rate.
 func (f *Forwarder) isWithinRate(account string) bool {
 	policy := f.Control.View().AccountPolicy(account)
-	return policy != nil && f.Control.Bucket(account).FleetDemand() <= policy.Rate
+	return policy != nil && f.Control.Tokens.FleetDemand(policy) <= policy.Rate
 }
--- a/internal/limiter/pool.go
+++ b/internal/limiter/pool.go
@@ -238,9 +238,12 @@
 func (p *pool) share(holder *holderState, req GrantRequest, demand float64) float64 {
 	waiting := min(max(0, req.Want), float64(req.Waiting))
 	want := waiting + min(max(0, req.Want)-waiting, p.prefetch(holder, req.Demand, demand))
-	if want <= 0 || p.available < 1 {
+	if want <= 0 {
 		return 0
 	}
+	if p.available < 1 {
+		return p.topUp(holder, req)
+	}
 	if p.available >= 2*want {
 		return want
 	}
@@ -257,6 +260,16 @@
 	return min(want, fair)
 }
 
+// topUp returns the part of a token that a waiting request lacks, if there is as much. Otherwise parts of tokens would lie unused
+// at the owner and at the node.
+func (p *pool) topUp(holder *holderState, req GrantRequest) float64 {
+	missing := 1 - (holder.granted - holder.settled)
+	if req.Waiting == 0 || missing <= 0 || missing > min(1, p.available) {
+		return 0
+	}
+	return missing
+}
+
 // prefetch returns how many tokens a node may get for future requests: its part, by demand, of what all nodes may hold
 // for them, less what it holds. A part below one token would mostly expire unused while requests wait at other nodes.
 func (p *pool) prefetch(holder *holderState, nodeDemand, demand float64) float64 {
--- a/internal/runner/node.go
+++ b/internal/runner/node.go
@@ -6,6 +6,7 @@
 	"net"
 	"net/http"
 	"net/netip"
+	"strings"
 	"time"
 
 	"github.com/pkg/errors"
@@ -14,6 +15,7 @@
 	"gopkg.in/tomb.v2"
 
 	"github.com/lavenderhub/lavenderhub/internal/admitter"
+	"github.com/lavenderhub/lavenderhub/internal/aggregator"
 	"github.com/lavenderhub/lavenderhub/internal/announcer"
 	"github.com/lavenderhub/lavenderhub/internal/asserter"
 	"github.com/lavenderhub/lavenderhub/internal/dialer"
@@ -77,6 +79,7 @@
 	announcer    *announcer.Announcer
 	router       *router.Router
 	syncer       *syncer.Syncer
+	aggregator   *aggregator.Aggregator
 	forwarder    *forwarder.Forwarder
 	recorder     *reporter.Recorder
 	peerPool     *dialer.Pool
@@ -118,7 +121,7 @@
 		return nil, err
 	}
 	n.callerServer = b.Security.Serve(&n.tomb, callerListener, dialer.Callers, n.face.callerHandler(n))
-	n.peerServer = b.Security.Serve(&n.tomb, peerListener, dialer.Peers, http.HandlerFunc(n.forwarder.ServePeer))
+	n.peerServer = b.Security.Serve(&n.tomb, peerListener, dialer.Peers, n.peerHandler())
 	n.Log.Info("nodeStarted", zap.String("node", cfg.GetName()),
 		zap.Stringer("callers", n.callerServer.Addr()), zap.Stringer("peers", n.peerServer.Addr()))
 	return n, nil
@@ -187,9 +190,25 @@
 		ControlAddresses:  addresses, Token: n.FleetToken, Timer: clock, Log: n.Log, Assert: n.Assert, Registry: n.Registry,
 		Pool: n.controlPool, Router: n.router, Announcer: n.announcer, SplitOver: splitOver,
 	})
+	n.aggregator = aggregator.New(aggregator.Parts{
+		Self: peerAddr, Timer: n.Timer, Registry: n.Registry, Pool: n.peerPool, Token: n.FleetToken,
+		Members: n.syncer.Aggregators, NodeCount: n.syncer.Nodes, Bucket: n.syncer.Bucket, ReturnTokens: n.syncer.ReturnTokens,
+	})
 	return nil
 }
 
+// peerHandler serves the calls of other nodes: requests for tokens, and requests for the local upstream, which carry a token.
+func (n *Node) peerHandler() http.Handler {
+	tokens := n.aggregator.Handler()
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if !forwarder.IsHop(r) && strings.HasPrefix(r.URL.Path, aggregator.PathPrefix) {
+			tokens.ServeHTTP(w, r)
+			return
+		}
+		n.forwarder.ServePeer(w, r)
+	})
+}
+
 func (n *Node) newForwarder(overrides forwarder.Overrides) {
 	opts := []forwarder.Option{
 		forwarder.WithOverrides(overrides), forwarder.WithMaxCertificateAge(maxCertificateAge(n.Terms)),
@@ -208,8 +227,12 @@
 		Timer: n.Timer, Log: n.Log, Assert: n.Assert, Registry: n.Registry, Router: n.router, Announcer: n.announcer,
 		Pool: n.peerPool, Recorder: n.recorder,
 		Control: forwarder.Control{
-			View: n.syncer.View, IsFresh: n.syncer.IsFresh, CertificateAge: n.syncer.CertificateAge, Bucket: n.syncer.Bucket,
+			View: n.syncer.View, IsFresh: n.syncer.IsFresh, CertificateAge: n.syncer.CertificateAge,
 			Locate: n.syncer.Locate, NodeCount: n.syncer.Nodes, Claim: n.syncer.Claim, Settle: n.syncer.Settle,
+			Tokens: forwarder.Tokens{
+				Draw: n.aggregator.Draw, FleetDemand: n.aggregator.FleetDemand, RestrictedFor: n.aggregator.RestrictedFor,
+				State: n.aggregator.State,
+			},
 		},
 	}, opts...)
 }
@@ -267,6 +290,7 @@
 	end := n.Timer.Now().Add(limit - sendMargin)
 	n.Log.Info("nodeStopping", zap.String("node", n.cfg.GetName()))
 	n.forwarder.Stop()
+	n.aggregator.Stop()
 	_ = n.Timer.Sleep(ctx, notice)
 	n.forwarder.RefuseBeyond(end)
 	n.announcer.Stop()
--- a/internal/syncer/syncer.go
+++ b/internal/syncer/syncer.go
@@ -93,6 +93,8 @@
 	certifiedAt atomic.Int64 // time since started, in nanoseconds; zero before the first freshness certificate
 	buckets     sync.Map     // string to *limiter.Bucket
 	nodes       atomic.Uint32
+	// aggregators holds the nodes that draw the tokens of small client accounts, or nil.
+	aggregators atomic.Pointer[[]netip.AddrPort]
 
 	mu           sync.Mutex
 	seeds        []netip.AddrPort
@@ -111,8 +113,9 @@
 	// regularAt is when the next regular exchange is due.
 	regularAt time.Time
 	// partialAllowed is set while the leader has all demands of this node and epoch.
-	partialAllowed bool
-	meter          meters
+	partialAllowed         bool
+	aggregatorsFingerprint uint64
+	meter                  meters
 }
 
 type meters struct {
@@ -172,10 +175,7 @@
 
 // Leave gives up all tokens and notifies the leader that the node is leaving. It must be called after Kill.
 func (s *Syncer) Leave(ctx context.Context) {
-	s.buckets.Range(func(_, v any) bool {
-		v.(*limiter.Bucket).ReturnTokens()
-		return true
-	})
+	s.giveUpTokens()
 	for range 2 * len(s.controlHosts) {
 		if s.exchange(ctx, leaving) == nil {
 			return
@@ -183,6 +183,24 @@
 	}
 }
 
+// ReturnTokens gives up all tokens, so that other nodes get them. Requests that come later draw new ones.
+func (s *Syncer) ReturnTokens() {
+	s.giveUpTokens()
+	s.Wake()
+}
+
+func (s *Syncer) giveUpTokens() {
+	s.buckets.Range(func(_, v any) bool {
+		v.(*limiter.Bucket).ReturnTokens()
+		return true
+	})
+}
+
+// Aggregators returns the nodes that draw the tokens of small client accounts, or nil. The list must not be changed.
+func (s *Syncer) Aggregators() *[]netip.AddrPort {
+	return s.aggregators.Load()
+}
+
 // View returns the newest view, or nil before the first successful exchange.
 func (s *Syncer) View() *resolver.View {
 	return s.view.Load()
@@ -461,6 +479,7 @@
 	at := sent.Sub(s.started) - time.Duration(reply.GetAgeMicros())*time.Microsecond
 	s.certifiedAt.Store(max(s.certifiedAt.Load(), int64(at), 1))
 	s.applyMemberships(reply)
+	s.applyAggregators(reply.GetAggregators())
 	s.partialAllowed = reply.GetPartialAllowed() && reply.GetEpoch() == req.GetEpoch()
 	if reply.GetEpoch() != s.epoch {
 		s.epoch = reply.GetEpoch()
@@ -501,6 +520,20 @@
 	}
 }
 
+func (s *Syncer) applyAggregators(a *schema.Aggregators) {
+	if a == nil {
+		return
+	}
+	list := make([]netip.AddrPort, 0, len(a.GetAddresses()))
+	for _, text := range a.GetAddresses() {
+		if addr, err := netip.ParseAddrPort(text); err == nil {
+			list = append(list, addr)
+		}
+	}
+	s.aggregators.Store(&list)
+	s.aggregatorsFingerprint = a.GetFingerprint()
+}
+
 // mergeWorkers returns the newer workers, and the older ones of nodes that have no newer one.
 func mergeWorkers(older, newer []*schema.Worker) []*schema.Worker {
 	byNode := map[string]bool{}
--- a/schema/replica.twirp.go
+++ b/schema/replica.twirp.go
@@ -784,7 +784,7 @@
 }
 
 func (s *replicaServer) ServiceDescriptor() ([]byte, int) {
-	return twirpFileDescriptor2, 0
+	return twirpFileDescriptor3, 0
 }
 
 func (s *replicaServer) ProtocGenTwirpVersion() string {
@@ -798,7 +798,7 @@
 	return baseServicePath(s.pathPrefix, "lavenderhub.v1", "Replica")
 }
 
-var twirpFileDescriptor2 = []byte{
+var twirpFileDescriptor3 = []byte{
 	// 826 bytes of a gzipped FileDescriptorProto
 	0x1f, 0x8b, 0x08, 0x00, 0x00, 0x00, 0x00, 0x00, 0x02, 0xff, 0x8c, 0x55, 0xcb, 0x6f, 0xe3, 0x44,
 	0x18, 0xc7, 0x8e, 0x9b, 0x38, 0x5f, 0xb6, 0x91, 0x19, 0x76, 0xbb, 0x4e, 0xca, 0x23, 0xb2, 0x84,
