Refuse at the entries what services at the end of call chains lack room for

Cause: calls of requests in progress have no link to their request on the platform. They ranked above all, raised no level, and the levels of services further down did not reach the entries; so the least important requests went in, and the last service's own requests starved. Change: each such call carries the rank of a random running request; levels count calls by it, and levels that calls bring back are reported up. The level's controller follows the load in proportion, in both directions, and leaves out calls whose roots it refuses already; entries take the level of a random worker in place of a mean, and lower old ones slowly instead of opening up after 1 s.

--- a/internal/admitter/gate.go
+++ b/internal/admitter/gate.go
@@ -21,6 +21,8 @@
 	queueFactor = 2
 	// maxInProgressWait is the time that a call in progress may wait for a slot.
 	maxInProgressWait = 2 * time.Second
+	// drainTime is the time in which a queue is to be served beside the requests that arrive.
+	drainTime = 2 * time.Second
 	// refusalTime allows for the way of a refusal back to the caller before the request's deadline.
 	refusalTime = 25 * time.Millisecond
 	// latencyWeight is the weight of a new sample in the moving average of the request time.
@@ -128,12 +130,32 @@
 type Request struct {
 	Rank     Rank
 	Deadline time.Time
+	// Root is the rank of the request at the root of the call chain, as far as it is known. It is set for calls in progress: the
+	// level that callers' requests must reach counts them as what they are.
+	Root Rank
 	// MaxWait is the time that the request may wait for a slot. Zero selects a limit derived from the mean request time.
 	MaxWait time.Duration
 	// Rerouted reports whether another gate refused the request before. Such a request is not counted as demand here.
 	Rerouted bool
 }
 
+// demandRank returns the rank as which a request counts when the level is computed.
+func (r Request) demandRank() Rank {
+	if r.Rank == InProgress && r.Root > 0 {
+		return r.Root
+	}
+	return r.Rank
+}
+
+// queueRank returns the rank by which a request is ordered in the queue. A call in progress precedes all requests of its root's
+// class, since work was already spent on it, but not those of higher classes. One without a known root precedes all requests.
+func (r Request) queueRank() Rank {
+	if r.Rank == InProgress && r.Root > 0 && r.Root != InProgress {
+		return lowestRank(r.Root.class()+1) - 1
+	}
+	return r.Rank
+}
+
 // Ticket represents the admission of one request.
 type Ticket struct {
 	gate *Gate
@@ -166,7 +188,7 @@
 		return Draining
 	}
 	if !req.Rerouted {
-		g.level.recordArrival(req.Rank, now)
+		g.level.recordArrival(req, now)
 	}
 	switch {
 	case g.unlimited:
@@ -309,12 +331,12 @@
 	if g.fifo || g.queue.Len() == 0 {
 		return
 	}
-	top := g.queue[0].req.Rank
+	top, rank := g.queue[0].req.queueRank(), w.req.queueRank()
 	detail := ""
-	if top > w.req.Rank {
-		detail = fmt.Sprintf("admitted %d while %d waits", w.req.Rank, top)
+	if top > rank {
+		detail = fmt.Sprintf("admitted %d while %d waits", rank, top)
 	}
-	g.assert.Check(asserter.ImportantShedLast, top <= w.req.Rank, detail)
+	g.assert.Check(asserter.ImportantShedLast, top <= rank, detail)
 }
 
 // endWindow updates the level and the limit if the current window has elapsed.
@@ -330,7 +352,7 @@
 	if elapsed < maxLevelWindow && g.served < minServed && g.queue.Len() > 0 {
 		return
 	}
-	g.level.update(g.capacity(elapsed), g.pressure(), now)
+	g.level.update(g.load(elapsed), g.pressure(), now)
 	for range min(int(elapsed/levelWindow)-1, maxIdleWindows) {
 		if g.queue.Len() == 0 {
 			g.level.update(0, relaxed, now)
@@ -342,13 +364,11 @@
 	g.standingQueue = g.queue.Len() > 0
 }
 
-// capacity estimates how many requests the upstream can serve in a time d. It is the larger of the number served and the
-// number that the limit and the mean request time allow.
-func (g *Gate) capacity(d time.Duration) float64 {
-	if g.mean <= 0 {
-		return float64(g.served)
-	}
-	return max(float64(g.served), float64(g.limit.current())*d.Seconds()/g.mean.Seconds())
+// load returns the work of a window as a share of what the limit and the mean request time allow: the requests that arrived and
+// were admitted, and the waiting ones, which are to be served within drainTime.
+func (g *Gate) load(elapsed time.Duration) float64 {
+	perSecond := float64(g.level.admitted)/elapsed.Seconds() + float64(g.queue.Len())/drainTime.Seconds()
+	return perSecond * g.mean.Seconds() / float64(g.limit.current())
 }
 
 // pressure classifies the window by the length of the queue: a short queue keeps the upstream busy, a long one only adds
@@ -382,7 +402,7 @@
 	now := g.timer.Now()
 	g.endWindow(now)
 	load := float64(g.inflight+g.queue.Len()) / float64(g.limit.current())
-	return Report{Level: g.level.current(now), Load: load, Mean: g.mean}
+	return Report{Level: g.level.value, Load: load, Mean: g.mean}
 }
 
 // HasRoom reports whether a slot is free and no request is waiting.
--- a/internal/admitter/queue.go
+++ b/internal/admitter/queue.go
@@ -21,11 +21,12 @@
 
 func (q queue) Less(i, j int) bool {
 	a, b := q[i], q[j]
-	if a.fifo || (a.req.Rank == InProgress && b.req.Rank == InProgress) {
+	rankA, rankB := a.req.queueRank(), b.req.queueRank()
+	if a.fifo || (rankA == rankB && a.req.Rank == InProgress && b.req.Rank == InProgress) {
 		return a.sequence < b.sequence
 	}
-	if a.req.Rank != b.req.Rank {
-		return a.req.Rank > b.req.Rank
+	if rankA != rankB {
+		return rankA > rankB
 	}
 	return a.sequence > b.sequence
 }
--- a/internal/forwarder/running.go
+++ b/internal/forwarder/running.go
@@ -2,9 +2,11 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"sync"
 	"time"
 
+	"github.com/lavenderhub/lavenderhub/internal/admitter"
 	"github.com/lavenderhub/lavenderhub/internal/authenticator"
 )
 
@@ -12,6 +14,8 @@
 type runningRequest struct {
 	call *call
 	ctx  context.Context
+	// index is the position in the table's list.
+	index int
 
 	mu           sync.Mutex
 	activeNested int
@@ -64,19 +68,48 @@
 	return s
 }
 
-// runningTable maps the handles that the local upstream presents to running requests.
+// runningTable holds the running requests, by the handles that the local upstream presents.
 type runningTable struct {
 	byHandle sync.Map // string to *runningRequest
+
+	mu   sync.Mutex
+	list []*runningRequest
 }
 
 func (t *runningTable) add(r *runningRequest) (handle string) {
 	handle = authenticator.NewHandle()
 	t.byHandle.Store(handle, r)
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	r.index = len(t.list)
+	t.list = append(t.list, r)
 	return handle
 }
 
 func (t *runningTable) remove(handle string) {
-	t.byHandle.Delete(handle)
+	value, ok := t.byHandle.LoadAndDelete(handle)
+	if !ok {
+		return
+	}
+	r := value.(*runningRequest)
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	last := len(t.list) - 1
+	t.list[r.index] = t.list[last]
+	t.list[r.index].index = r.index
+	t.list[last] = nil
+	t.list = t.list[:last]
+}
+
+// sampleRoot returns the root rank of a random running request, or zero if there is none. Calls of unknown requests thus come
+// from the classes of requests in the proportions in which these are running.
+func (t *runningTable) sampleRoot() admitter.Rank {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if len(t.list) == 0 {
+		return 0
+	}
+	return t.list[rand.IntN(len(t.list))].call.root
 }
 
 func (t *runningTable) find(handle string) (*runningRequest, bool) {
--- a/internal/router/levels.go
+++ b/internal/router/levels.go
@@ -1,18 +1,20 @@
 package router
 
 import (
+	"math/rand/v2"
 	"sync"
 	"time"
 )
 
 const (
-	// levelLifetime is how long a reported level holds before it is lowered to probe the worker.
-	levelLifetime = 250 * time.Millisecond
-	// levelStep is the basis of the steps by which a level is lowered, in ranks: after n times levelLifetime without a
-	// response, it is lowered by levelStep << n.
-	levelStep = 1 << 13
-	// maxLevelSteps is the number of steps after which a level is discarded.
-	maxLevelSteps = 10
+	// levelHoldTime is how long a reported level holds before it is lowered to probe the worker.
+	levelHoldTime = time.Second
+	// levelStepTime is the time between two steps by which it is lowered then, and levelStep their size in ranks: a sixteenth of
+	// the ranks of one class, so that only a few requests find out whether the overload has passed.
+	levelStepTime = 100 * time.Millisecond
+	levelStep     = 1 << 12
+	// levelLifetime is the time without a response after which a level is discarded.
+	levelLifetime = 10 * time.Second
 )
 
 // Levels stores the admission levels that workers reported in their responses, per service and route. It is safe for
@@ -51,39 +53,55 @@
 	levels.byWorker[worker] = workerLevel{value: value, at: now}
 }
 
-// Of returns the rank below which a call would most likely be shed: the mean over the workers whose levels have not
-// expired. It falls while no responses arrive, so that a few calls probe whether the overload has passed.
+// Of returns the rank below which a call would most likely be shed: the level of a random worker among those whose levels have
+// not expired. Over many calls, as large a share of them is shed as the workers would shed. A mean of levels would not do that,
+// since ranks of different classes are not evenly spread. The level falls while no responses arrive, so that a few calls probe
+// whether the overload has passed.
 func (l *Levels) Of(service, route string, now time.Time) uint32 {
 	entry, ok := l.byRoute.Load(routeKey{service, route})
 	if !ok {
 		return 0
 	}
-	levels := entry.(*routeLevels)
-	levels.mu.Lock()
-	defer levels.mu.Unlock()
-	sum, n := uint64(0), uint64(0)
-	for worker, w := range levels.byWorker {
-		steps := int(now.Sub(w.at) / levelLifetime)
-		if steps > maxLevelSteps {
-			delete(levels.byWorker, worker)
-			continue
+	return entry.(*routeLevels).draw(now)
+}
+
+// Highest returns the highest level of all services and routes, each of a random worker.
+func (l *Levels) Highest(now time.Time) uint32 {
+	highest := uint32(0)
+	l.byRoute.Range(func(_, entry any) bool {
+		highest = max(highest, entry.(*routeLevels).draw(now))
+		return true
+	})
+	return highest
+}
+
+// draw returns the present level of a random worker, or zero if there is none.
+func (l *routeLevels) draw(now time.Time) uint32 {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for worker, w := range l.byWorker {
+		if now.Sub(w.at) > levelLifetime {
+			delete(l.byWorker, worker)
 		}
-		sum += uint64(lowered(w.value, steps))
-		n++
 	}
-	if n == 0 {
+	if len(l.byWorker) == 0 {
 		return 0
 	}
-	return uint32(sum / n)
+	skip := rand.IntN(len(l.byWorker))
+	for _, w := range l.byWorker {
+		if skip == 0 {
+			return w.lowered(now)
+		}
+		skip--
+	}
+	return 0
 }
 
-func lowered(value uint32, steps int) uint32 {
-	if steps == 0 {
-		return value
-	}
-	decrease := uint32(levelStep) << steps
-	if decrease >= value {
+// lowered returns the level as lowered by the time without a response.
+func (w workerLevel) lowered(now time.Time) uint32 {
+	steps := uint64(max(0, now.Sub(w.at)-levelHoldTime) / levelStepTime)
+	if steps*levelStep >= uint64(w.value) {
 		return 0
 	}
-	return value - decrease
+	return w.value - uint32(steps*levelStep)
 }
