Use a connection no further after a response that names no request

Cause: an upstream may decline a request without naming it. Such a refusal, written once more on the kept connection after the next request was sent, was taken for that request's own. On the native face no response named its request at all, so a late second copy of any response could reach the next caller. Ruled out: skipping refusals without an ID on kept connections: upstreams without room send them, and the caller would wait in vain. Change: a connection is kept only after a response that names its request. The native protocol's upstreams may echo Lavenderhub-Request for it; the simulated ones do. Measured: TestPlatformRepeatedRefusalForRunningRequest failed before (503, ran once). A worker that stops within its head, at any byte, is found broken by both tests named after it; these pass on the code before too, so that fault can't happen here.

--- a/internal/exchanger/exchange.go
+++ b/internal/exchanger/exchange.go
@@ -27,11 +27,25 @@
 // ErrMismatchedResponse is returned when the upstream sent only responses that belong to other requests.
 var ErrMismatchedResponse = errors.New("the upstream's answer belongs to another request")
 
-// MatchFunc reports whether a response belongs to a request.
-type MatchFunc func(req *http.Request, resp *http.Response) bool
+// Match tells to which request a response belongs.
+type Match int
 
-func matchAny(*http.Request, *http.Response) bool {
-	return true
+// Values of Match.
+const (
+	// Other means that the response belongs to another request.
+	Other Match = iota
+	// Own means that the response names its request.
+	Own
+	// Unnamed means that the response names no request but may be taken for this one's. A copy of it that the upstream sends
+	// later could not be told from the response to the next request, so its connection is not used again.
+	Unnamed
+)
+
+// MatchFunc tells whether a response belongs to a request.
+type MatchFunc func(req *http.Request, resp *http.Response) Match
+
+func matchAny(*http.Request, *http.Response) Match {
+	return Unnamed
 }
 
 // Exchange describes how far an attempt to send a request got.
@@ -59,13 +73,13 @@
 	if sendErr != nil && !hasResponse(c) {
 		return nil, x, c.fail(ctx, stop, errors.Wrap(sendErr, "send the request"))
 	}
-	resp, mismatched, err := c.receive(req)
+	resp, match, err := c.receive(req)
 	if err != nil {
 		return nil, x, c.fail(ctx, stop, errors.Wrap(err, "read the answer"))
 	}
 	resp.Body = &body{
 		ReadCloser: resp.Body, conn: c, ctx: ctx, stop: stop, writer: writer,
-		closeAfter: mismatched || sendErr != nil || resp.Close || isUnframed(resp),
+		closeAfter: match != Own || sendErr != nil || resp.Close || isUnframed(resp),
 	}
 	c.applyKeepAlive(resp.Header)
 	return resp, x, nil
@@ -111,23 +125,27 @@
 	return c.writer.Flush()
 }
 
-// receive reads the headers of the matching response; mismatched reports whether it skipped responses to other requests.
-func (c *conn) receive(req *http.Request) (resp *http.Response, mismatched bool, err error) {
+// receive reads the headers of the matching response. It returns Unnamed also if it skipped responses to other requests.
+func (c *conn) receive(req *http.Request) (*http.Response, Match, error) {
+	skipped := false
 	for range maxMismatched + 1 {
-		resp, err = c.readFinal(req)
+		resp, err := c.readFinal(req)
 		if err != nil {
-			return nil, mismatched, err
+			return nil, Other, err
 		}
-		if c.pool.match(req, resp) {
-			return resp, mismatched, nil
+		if match := c.pool.match(req, resp); match != Other {
+			if skipped {
+				match = Unnamed
+			}
+			return resp, match, nil
 		}
-		mismatched = true
+		skipped = true
 		n, err := io.Copy(io.Discard, io.LimitReader(resp.Body, maxMismatchedBody))
 		if err != nil || n == maxMismatchedBody || resp.Close || isUnframed(resp) {
 			break
 		}
 	}
-	return nil, mismatched, ErrMismatchedResponse
+	return nil, Other, ErrMismatchedResponse
 }
 
 // readFinal reads the head of the next final response, skipping interim ones.
--- a/internal/exchanger/exchange_test.go
+++ b/internal/exchanger/exchange_test.go
@@ -76,8 +76,15 @@
 const okResponse = "HTTP/1.1 200 OK\r\nRequest-Id: ID\r\nContent-Length: 5\r\n\r\nhello"
 
 func newPool(addr netip.AddrPort) *Pool {
-	return New(addr, timer.New(), WithMatch(func(req *http.Request, resp *http.Response) bool {
-		return resp.Header.Get(idHeader) == req.Header.Get(idHeader)
+	return New(addr, timer.New(), WithMatch(func(req *http.Request, resp *http.Response) Match {
+		switch resp.Header.Get(idHeader) {
+		case req.Header.Get(idHeader):
+			return Own
+		case "":
+			return Unnamed
+		default:
+			return Other
+		}
 	}))
 }
 
--- a/internal/exchanger/pool.go
+++ b/internal/exchanger/pool.go
@@ -41,7 +41,7 @@
 // Option configures a Pool.
 type Option func(*Pool)
 
-// WithMatch sets the function that reports whether a response belongs to the request. By default every response does.
+// WithMatch sets the function that tells whether a response belongs to the request. By default every response is taken as unnamed.
 func WithMatch(f MatchFunc) Option {
 	return func(p *Pool) { p.match = f }
 }
--- a/internal/forwarder/upstream_protocol.go
+++ b/internal/forwarder/upstream_protocol.go
@@ -4,6 +4,8 @@
 	"net/http"
 	"strconv"
 	"time"
+
+	"github.com/lavenderhub/lavenderhub/internal/exchanger"
 )
 
 // RequestInfo describes a request to the upstream.
@@ -55,6 +57,18 @@
 	return UpstreamProtocol{SetHeaders: setUpstreamHeaders, ReadVerdict: func(*http.Response) UpstreamVerdict { return UpstreamVerdict{} }}
 }
 
+// MatchRequest tells whether a response of an upstream with the native protocol echoes the handle of its request.
+func MatchRequest(req *http.Request, resp *http.Response) exchanger.Match {
+	switch resp.Header.Get(headerRequest) {
+	case "":
+		return exchanger.Unnamed
+	case req.Header.Get(headerRequest):
+		return exchanger.Own
+	default:
+		return exchanger.Other
+	}
+}
+
 func setUpstreamHeaders(h http.Header, info RequestInfo) {
 	h.Set(headerRequest, info.Handle)
 	h.Set(headerDeadline, strconv.FormatInt(info.Remaining.Milliseconds(), 10))
--- a/internal/responder/responder.go
+++ b/internal/responder/responder.go
@@ -198,6 +198,8 @@
 		r.cfg.OnRequest(req, body)
 	}
 	id := req.URL.Query().Get("id")
+	// The echo lets the node use the connection for further requests.
+	w.Header().Set("Lavenderhub-Request", req.Header.Get("Lavenderhub-Request"))
 	if r.cfg.Executions != nil {
 		r.cfg.Executions.add(req.Method, id)
 	}
--- a/internal/runner/face.go
+++ b/internal/runner/face.go
@@ -42,7 +42,10 @@
 	}
 	return face{
 		announcerOptions: func(onChange func(), gate []admitter.Option) []announcer.Option {
-			return []announcer.Option{announcer.WithOnChange(onChange), announcer.WithGateOptions(gate...)}
+			return []announcer.Option{
+				announcer.WithOnChange(onChange), announcer.WithGateOptions(gate...),
+				announcer.WithPoolOptions(exchanger.WithMatch(forwarder.MatchRequest)),
+			}
 		},
 		forwarderOptions: func() []forwarder.Option { return nil },
 		listen:           func(*Node) error { return nil },
@@ -60,7 +63,7 @@
 			gate = append([]admitter.Option{admitter.WithUsableShare(usableSlotShare), admitter.WithStaticLimit()}, gate...)
 			return []announcer.Option{
 				announcer.WithOnChange(onChange), announcer.WithGateOptions(gate...), announcer.WithHeartbeatTimeout(timeout),
-				announcer.WithPoolOptions(exchanger.WithMatch(platform.MatchesRequest)),
+				announcer.WithPoolOptions(exchanger.WithMatch(platform.MatchRequest)),
 			}
 		},
 		forwarderOptions: func() []forwarder.Option {
--- a/internal/runner/platform_test.go
+++ b/internal/runner/platform_test.go
@@ -47,6 +47,9 @@
 	earlyBodies []string
 }
 
+// refusalWithoutID is sent by an upstream that has no room.
+const refusalWithoutID = "HTTP/1.1 503 Service Unavailable\r\nX-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n"
+
 func (w *platformWorker) serve() {
 	for {
 		c, err := w.listener.Accept()
@@ -60,7 +63,7 @@
 func (w *platformWorker) serveConn(c net.Conn) {
 	defer func() { _ = c.Close() }()
 	br := bufio.NewReader(c)
-	sendLate := false
+	sendLate, repeatRefusal := false, false
 	for {
 		r, err := http.ReadRequest(br)
 		if err != nil {
@@ -70,7 +73,10 @@
 			// A second response to the previous request arrives where the response to this one is expected.
 			fmt.Fprint(c, "HTTP/1.1 200 OK\r\nX-Attempt-Id: late\r\nContent-Length: 4\r\n\r\nlate")
 		}
-		sendLate = strings.HasSuffix(r.URL.Path, "/late")
+		if repeatRefusal {
+			fmt.Fprint(c, refusalWithoutID)
+		}
+		sendLate, repeatRefusal = strings.HasSuffix(r.URL.Path, "/late"), strings.HasSuffix(r.URL.Path, "/declined")
 		if strings.HasSuffix(r.URL.Path, "/early") {
 			w.respondBeforeBody(c, r)
 			continue
@@ -109,7 +115,7 @@
 	}
 	kind := r.URL.Path[strings.LastIndex(r.URL.Path, "/")+1:]
 	if kind == "declined" {
-		fmt.Fprint(c, "HTTP/1.1 503 Service Unavailable\r\nX-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n")
+		fmt.Fprint(c, refusalWithoutID)
 		return true
 	}
 	w.mu.Lock()
@@ -120,6 +126,12 @@
 	switch kind {
 	case "failed":
 		fmt.Fprintf(c, "HTTP/1.1 500 Internal Server Error\r\n%sContent-Length: 4\r\n\r\noops", head)
+	case "broken-head":
+		fmt.Fprintf(c, "HTTP/1.1 200 OK\r\n%sContent-Le", head)
+		return false
+	case "head-without-end":
+		fmt.Fprintf(c, "HTTP/1.1 200 OK\r\n%s", head)
+		return false
 	case "truncated":
 		fmt.Fprintf(c, "HTTP/1.1 200 OK\r\n%sContent-Length: 400\r\n\r\nhello", head)
 		return false
@@ -376,6 +388,33 @@
 	}
 }
 
+// TestPlatformBrokenHeadLooksComplete guards against an upstream that stops in the middle of its response's head: the caller would
+// get a complete response with an empty body.
+func TestPlatformBrokenHeadLooksComplete(t *testing.T) {
+	f := startServingPlatformFleet(t)
+	for i, target := range []string{"/one/broken-head", "/one/head-without-end"} {
+		if got := f.send(i, http.MethodPost, target, "key-a", fmt.Sprint("broken-", i), "x"); got.status != http.StatusBadGateway {
+			t.Errorf("%s: status %d, body %q", target, got.status, got.body)
+		}
+	}
+}
+
+// TestPlatformRepeatedRefusalForRunningRequest guards against an upstream that writes an earlier refusal once more on a kept
+// connection: the next caller would hear that its request was not run, or it would run at a second upstream.
+func TestPlatformRepeatedRefusalForRunningRequest(t *testing.T) {
+	f := startServingPlatformFleet(t)
+	for i := range 20 {
+		id := fmt.Sprint("repeated-", i)
+		if got := f.send(i%2, http.MethodPost, "/one/declined", "key-a", id+"-declined", "x"); got.status != http.StatusServiceUnavailable {
+			t.Fatalf("status %d of a request that the upstream declined", got.status)
+		}
+		got := f.send(i%2, http.MethodPost, "/one/a", "key-a", id, "x")
+		if got.status != http.StatusOK || f.workers[1].runCount(id) != 1 {
+			t.Fatalf("status %d of a request that ran %d times", got.status, f.workers[1].runCount(id))
+		}
+	}
+}
+
 func TestPlatformStreamWithUnendingTrailerBreaksOff(t *testing.T) {
 	f := startServingPlatformFleet(t)
 	for i := range f.nodes {
