Serve pipelined reads of a connection at once

Change: package pipeliner gives the server the bytes of one request at a time. The read by which net/http notices that a caller leaves looks for further requests meanwhile: reads without a body are served at once on connections within the process, and their responses are held back until their turn, at most 16 requests and 256 KB a connection and 16 MB a process. All else waits for its turn, also a read whose route may run once. A stopping node closes a connection only after the last request in progress on it. Alternatives: serial, as it was; answering the first and closing, so that the rest comes again on new connections: costs a connection and a round trip of 16 ms each. Measured: the tests named after what they guard; both faces use the same code.

--- a/internal/admitter/call_chain_test.go
+++ b/internal/admitter/call_chain_test.go
@@ -86,11 +86,12 @@
 	for range chainEntries {
 		c.entries = append(c.entries, &router.Levels{})
 	}
+	const ms = time.Millisecond
 	c.kinds = []*chainKind{
-		{name: "read", service: "history", route: "read", importance: 1, perSecond: 420, objective: 1200 * time.Millisecond, deadline: 5 * time.Second},
-		{name: "change", service: "records", route: "change", importance: 3, perSecond: 200, objective: 1500 * time.Millisecond, deadline: 5 * time.Second},
-		{name: "move", service: "custody", route: "move", importance: 3, perSecond: 150, objective: 200 * time.Millisecond, deadline: 800 * time.Millisecond},
-		{name: "scan", service: "scanner", route: "scan", importance: 2, perSecond: 130, objective: 120 * time.Millisecond, deadline: 500 * time.Millisecond},
+		{name: "read", service: "history", route: "read", importance: 1, perSecond: 420, objective: 1200 * ms, deadline: 5000 * ms},
+		{name: "change", service: "records", route: "change", importance: 3, perSecond: 200, objective: 1500 * ms, deadline: 5000 * ms},
+		{name: "move", service: "custody", route: "move", importance: 3, perSecond: 150, objective: 200 * ms, deadline: 800 * ms},
+		{name: "scan", service: "scanner", route: "scan", importance: 2, perSecond: 130, objective: 120 * ms, deadline: 500 * ms},
 	}
 	for _, k := range c.kinds {
 		k.perSecond *= load
--- a/internal/dialer/server.go
+++ b/internal/dialer/server.go
@@ -15,6 +15,8 @@
 	"github.com/pkg/errors"
 	"go.uber.org/zap"
 	"gopkg.in/tomb.v2"
+
+	"github.com/lavenderhub/lavenderhub/internal/pipeliner"
 )
 
 // panicStatus is the exit status of the process after a panic in a handler.
@@ -37,6 +39,8 @@
 type Server struct {
 	http     *http.Server
 	listener net.Listener
+	// pipelines is nil unless the server accepts callers.
+	pipelines *pipeliner.Listener
 }
 
 // ListenTCP listens on a TCP address. With port zero the system chooses a port.
@@ -70,6 +74,11 @@
 		ErrorLog:          s.errorLog(),
 	}
 	listener := ln
+	var pipelines *pipeliner.Listener
+	if clients == Callers {
+		pipelines = pipeliner.Listen(t, ln, s.timer)
+		listener, srv.ConnState, srv.ConnContext = pipelines, pipelines.ConnState, pipelines.ConnContext
+	}
 	if s.cfg != nil && clients != Callers {
 		listener = tls.NewListener(ln, s.serverConfig(clients == Peers))
 	}
@@ -79,7 +88,7 @@
 		}
 		return nil
 	})
-	return &Server{http: srv, listener: ln}
+	return &Server{http: srv, listener: ln, pipelines: pipelines}
 }
 
 // stopOnPanic ends the process when a handler panics. net/http would recover and continue, with any locks of the handler
@@ -116,6 +125,13 @@
 	return addr
 }
 
+// StopPipelining ends the reading of requests ahead of those in progress on their connection.
+func (s *Server) StopPipelining() {
+	if s.pipelines != nil {
+		s.pipelines.StopBranches()
+	}
+}
+
 // Shutdown stops listening, waits for requests in progress and closes connections. It returns the context's error if the
 // context ends first.
 func (s *Server) Shutdown(ctx context.Context) error {
--- a/internal/forwarder/adapter.go
+++ b/internal/forwarder/adapter.go
@@ -6,13 +6,14 @@
 	"strings"
 
 	"github.com/lavenderhub/lavenderhub/internal/authenticator"
+	"github.com/lavenderhub/lavenderhub/internal/pipeliner"
 	"github.com/lavenderhub/lavenderhub/internal/refuser"
 )
 
 // ServeCaller serves requests in the native protocol: those of callers and the nested calls of the local upstream.
 func (f *Forwarder) ServeCaller(w http.ResponseWriter, r *http.Request) {
 	defer f.Begin()()
-	if f.IsStopping() && r.ProtoMajor == 1 {
+	if f.IsStopping() && r.ProtoMajor == 1 && pipeliner.EndConnection(r.Context()) {
 		w.Header().Set("Connection", "close")
 	}
 	req, ref := f.decode(r)
--- a/internal/forwarder/root.go
+++ b/internal/forwarder/root.go
@@ -11,6 +11,7 @@
 	"github.com/lavenderhub/lavenderhub/internal/asserter"
 	"github.com/lavenderhub/lavenderhub/internal/authenticator"
 	"github.com/lavenderhub/lavenderhub/internal/limiter"
+	"github.com/lavenderhub/lavenderhub/internal/pipeliner"
 	"github.com/lavenderhub/lavenderhub/internal/refuser"
 	"github.com/lavenderhub/lavenderhub/internal/reporter"
 	"github.com/lavenderhub/lavenderhub/internal/resolver"
@@ -26,6 +27,9 @@
 		f.logRefusal(req, ref)
 		return nil, ref
 	}
+	if !c.idempotent && !pipeliner.AwaitTurn(ctx) {
+		return nil, refuser.New(refuser.NotRun, refuser.CallerLeft, "the caller went away")
+	}
 	c.deadline = start.Add(c.timeout)
 	if caller.policy == nil && req.FromLocalUpstream {
 		// It is unknown which request in progress makes the call; use the share of retries among the recent ones.
--- a/internal/forwarder/upstream.go
+++ b/internal/forwarder/upstream.go
@@ -93,7 +93,8 @@
 func (f *Forwarder) newReport(up *announcer.Upstream, c *call, nested nestedSummary) hopReport {
 	gate, now := up.Gate.Report(), f.Timer.Now()
 	return hopReport{
-		level: max(uint32(gate.Level), nested.level, f.nestedLevels.Highest(now)), load: gate.Load, spentRetries: c.retryBudget.Spent(), hasSpentRetries: true,
+		level: max(uint32(gate.Level), nested.level, f.nestedLevels.Highest(now)), load: gate.Load,
+		spentRetries: c.retryBudget.Spent(), hasSpentRetries: true,
 		retryShare: max(f.retryMeterOf(up.Service).Share(now), f.nestedRetryShares.Highest(now)), hasRetryShare: true,
 	}
 }
--- /dev/null
+++ b/internal/pipeliner/conn.go
@@ -0,0 +1,272 @@
+package pipeliner
+
+import (
+	"net"
+	"os"
+	"sync"
+	"sync/atomic"
+	"time"
+)
+
+const (
+	// maxAhead bounds the requests of one connection that are served at a time.
+	maxAhead = 16
+	// maxBuffered bounds the bytes that are read from a connection beyond the requests that are served. The caller's further
+	// bytes wait in the network.
+	maxBuffered = 32 << 10
+	// readSize is the size of reads ahead.
+	readSize = 4 << 10
+)
+
+// conn is a caller's connection. The server gets the bytes of one request at a time. While it serves that request, it reads the
+// connection to learn when the caller leaves; in these reads conn looks for further requests and gives them to branches.
+type conn struct {
+	net.Conn
+	*pipe
+	listener *Listener
+
+	// The fields below are used only by reads, which the server makes one at a time.
+	head head
+	// buffer holds bytes that were read ahead, and bodyLeft is the size of the rest of the body of the request being served.
+	buffer   []byte
+	bodyLeft int64
+
+	// order is the number of the request that the server reads from this connection. serving is set from the end of its head until
+	// its response is complete, plain once the server reads the connection itself.
+	order   atomic.Uint64
+	serving atomic.Bool
+	plain   atomic.Bool
+
+	deadlineMu sync.Mutex
+	// aborted is set while the read deadline has passed, and onAbort closed then, if a read waits for it.
+	aborted bool
+	onAbort chan struct{}
+	// first receives the first byte that is read ahead.
+	first [1]byte
+}
+
+func newConn(raw net.Conn, l *Listener) *conn {
+	return &conn{Conn: raw, pipe: newPipe(raw, &l.totalHeld), listener: l}
+}
+
+// Read implements net.Conn.
+func (c *conn) Read(p []byte) (int, error) {
+	switch {
+	case c.plain.Load():
+		return c.readPlain(p)
+	case c.bodyLeft > 0:
+		return c.readBody(p)
+	case c.serving.Load():
+		return 0, c.readAhead()
+	default:
+		return c.readHead(p)
+	}
+}
+
+// readPlain returns bytes as they come.
+func (c *conn) readPlain(p []byte) (int, error) {
+	if len(c.buffer) > 0 {
+		n := copy(p, c.buffer)
+		c.consume(n)
+		return n, nil
+	}
+	return c.Conn.Read(p)
+}
+
+func (c *conn) consume(n int) {
+	c.buffer = c.buffer[n:]
+	if len(c.buffer) == 0 {
+		c.buffer = nil
+	}
+}
+
+// readBody returns bytes of the body of the request that is being served.
+func (c *conn) readBody(p []byte) (int, error) {
+	p = p[:min(int64(len(p)), c.bodyLeft)]
+	n, err := c.readPlain(p)
+	c.bodyLeft -= int64(n)
+	return n, err
+}
+
+// readHead returns bytes up to the end of the next request's head.
+func (c *conn) readHead(p []byte) (int, error) {
+	if len(c.buffer) == 0 {
+		n, err := c.Conn.Read(p)
+		if n == 0 {
+			if err != nil && !isTimeout(err) {
+				c.closeNow()
+			}
+			return 0, err
+		}
+		used, done := c.head.scan(p[:n])
+		if used < n {
+			c.buffer = append([]byte(nil), p[used:n]...)
+		}
+		return used, c.endHead(done)
+	}
+	used, done := c.head.scan(c.buffer[:min(len(p), len(c.buffer))])
+	copy(p, c.buffer[:used])
+	c.consume(used)
+	return used, c.endHead(done)
+}
+
+// endHead starts the request whose head is complete.
+func (c *conn) endHead(done bool) error {
+	if !done {
+		return nil
+	}
+	h := c.head
+	c.head.reset()
+	if !h.mayPrecede() {
+		// What may have an effect never starts before all that stands ahead of it is answered.
+		c.awaitIdle()
+	}
+	order, ok := c.begin()
+	if !ok {
+		return net.ErrClosed
+	}
+	c.order.Store(order)
+	switch h.body {
+	case openBody:
+		c.plain.Store(true)
+		return nil
+	case sizedBody:
+		c.bodyLeft = h.length
+	}
+	c.serving.Store(true)
+	return nil
+}
+
+// readAhead reads requests while the server serves one. It returns when the server aborts the read or the caller leaves.
+func (c *conn) readAhead() error {
+	for {
+		c.startBranches()
+		if len(c.buffer) >= maxBuffered {
+			c.awaitAbort()
+			return os.ErrDeadlineExceeded
+		}
+		n, err := c.fill()
+		if n > 0 {
+			continue
+		}
+		if err != nil {
+			if !isTimeout(err) {
+				c.closeNow()
+			}
+			return err
+		}
+	}
+}
+
+// fill reads further bytes into the buffer. Most callers send none, so the first read has no buffer of its own.
+func (c *conn) fill() (int, error) {
+	if len(c.buffer) == 0 {
+		n, err := c.Conn.Read(c.first[:])
+		c.buffer = append(c.buffer, c.first[:n]...)
+		return n, err
+	}
+	block := make([]byte, readSize)
+	n, err := c.Conn.Read(block)
+	c.buffer = append(c.buffer, block[:n]...)
+	return n, err
+}
+
+// startBranches gives complete requests that may precede to branches. Others wait until the server reads them.
+func (c *conn) startBranches() {
+	for len(c.buffer) > 0 && c.inProgress() < maxAhead && c.listener.mayBranch() {
+		var h head
+		n, done := h.scan(c.buffer)
+		if !done || !h.mayPrecede() {
+			return
+		}
+		order, ok := c.begin()
+		if !ok {
+			return
+		}
+		b := newBranch(c.pipe, c.listener.timer, order, append([]byte(nil), c.buffer[:n]...))
+		c.addBranch(b)
+		c.consume(n)
+		if !c.listener.offer(b) {
+			// The server no longer accepts: the request counts as not read, and the connection closes before its response.
+			c.closeUnread(order)
+			return
+		}
+	}
+}
+
+// closeUnread ends the connection with the response before the one of a request that can't be served.
+func (c *conn) closeUnread(order uint64) {
+	c.finish(order, true)
+	c.closeWhenIdle()
+}
+
+// completeRequest ends the request that the server has served on this connection.
+func (c *conn) completeRequest() {
+	if !c.plain.Load() && c.serving.CompareAndSwap(true, false) {
+		c.finish(c.order.Load(), false)
+	}
+}
+
+// Write implements net.Conn.
+func (c *conn) Write(p []byte) (int, error) {
+	if c.serving.Load() {
+		return c.write(c.order.Load(), p)
+	}
+	if !c.plain.Load() {
+		// The server refuses a request before the end of its head.
+		c.awaitIdle()
+	}
+	return c.Conn.Write(p)
+}
+
+// CloseWrite lets the caller read the response although the rest of its request is not read.
+func (c *conn) CloseWrite() error {
+	half, ok := c.Conn.(interface{ CloseWrite() error })
+	if !ok || (c.serving.Load() && !c.hasTurn(c.order.Load())) {
+		return nil
+	}
+	return half.CloseWrite()
+}
+
+// Close implements net.Conn. Responses in progress on branches are completed first.
+func (c *conn) Close() error {
+	switch {
+	case c.plain.Load():
+		c.closeNow()
+	case c.serving.CompareAndSwap(true, false):
+		c.finish(c.order.Load(), true)
+	default:
+		c.closeWhenIdle()
+	}
+	return nil
+}
+
+// SetReadDeadline implements net.Conn.
+func (c *conn) SetReadDeadline(t time.Time) error {
+	c.deadlineMu.Lock()
+	c.aborted = !t.IsZero() && !t.After(c.listener.timer.Now())
+	if c.aborted && c.onAbort != nil {
+		close(c.onAbort)
+		c.onAbort = nil
+	}
+	c.deadlineMu.Unlock()
+	return c.Conn.SetReadDeadline(t)
+}
+
+// awaitAbort waits until the read deadline has passed.
+func (c *conn) awaitAbort() {
+	c.deadlineMu.Lock()
+	if c.aborted {
+		c.deadlineMu.Unlock()
+		return
+	}
+	signal := make(chan struct{})
+	c.onAbort = signal
+	c.deadlineMu.Unlock()
+	<-signal
+}
+
+func isTimeout(err error) bool {
+	timeout, ok := err.(net.Error)
+	return ok && timeout.Timeout()
+}
--- /dev/null
+++ b/internal/pipeliner/head.go
@@ -0,0 +1,128 @@
+package pipeliner
+
+import (
+	"bytes"
+	"strconv"
+)
+
+// maxLinePrefix is the number of bytes of a header line that are examined.
+const maxLinePrefix = 128
+
+// bodyKind tells how the end of a request's body is found.
+type bodyKind int
+
+const (
+	// noBody means that the request ends with its head.
+	noBody bodyKind = iota
+	// sizedBody means that the body has a known length.
+	sizedBody
+	// openBody means that the end of the body, or the protocol after the head, is left to the server.
+	openBody
+)
+
+// head scans the head of a request as its bytes arrive.
+type head struct {
+	line     []byte
+	lineSize int
+	lines    int
+	// isRead is set for GET and HEAD, which may be served ahead of their turn.
+	isRead bool
+	body   bodyKind
+	length int64
+	hosts  int
+}
+
+// scan reads bytes up to the end of the head. It returns how many it read, and whether the head is complete.
+func (h *head) scan(p []byte) (n int, done bool) {
+	for n < len(p) {
+		i := bytes.IndexByte(p[n:], '\n')
+		part := p[n:]
+		if i >= 0 {
+			part = part[:i]
+		}
+		h.line = append(h.line, part[:min(len(part), maxLinePrefix-len(h.line))]...)
+		h.lineSize += len(part)
+		if i < 0 {
+			return len(p), false
+		}
+		n += i + 1
+		if h.endLine() {
+			return n, true
+		}
+	}
+	return n, false
+}
+
+// endLine examines a line and reports whether it ends the head.
+func (h *head) endLine() bool {
+	line := bytes.TrimSuffix(h.line, []byte{'\r'})
+	empty := len(line) == 0 && h.lineSize <= 1
+	h.lineSize = 0
+	h.lines++
+	switch {
+	case h.lines == 1:
+		h.startLine(line)
+	case !empty:
+		h.field(line)
+	}
+	h.line = h.line[:0]
+	return empty
+}
+
+var (
+	get     = []byte("GET ")
+	headOf  = []byte("HEAD ")
+	version = []byte(" HTTP/1.1")
+)
+
+// startLine examines the first line. Methods that open tunnels, and other versions, are left to the server.
+func (h *head) startLine(line []byte) {
+	h.isRead = bytes.HasPrefix(line, get) || bytes.HasPrefix(line, headOf)
+	if (len(line) < maxLinePrefix && !bytes.HasSuffix(line, version)) || bytes.HasPrefix(line, []byte("CONNECT ")) {
+		h.body = openBody
+	}
+}
+
+// leftToServer lists the headers that change how the connection is used.
+var leftToServer = [][]byte{
+	[]byte("transfer-encoding"), []byte("upgrade"), []byte("expect"), []byte("connection"), []byte("proxy-connection"),
+}
+
+func (h *head) field(line []byte) {
+	name, value, ok := bytes.Cut(line, []byte{':'})
+	value = bytes.TrimSpace(value)
+	switch {
+	case !ok:
+		h.body = openBody
+	case bytes.EqualFold(name, []byte("host")):
+		h.hosts++
+	case bytes.EqualFold(name, []byte("content-length")):
+		h.contentLength(value)
+	case bytes.EqualFold(value, []byte("keep-alive")):
+	default:
+		for _, other := range leftToServer {
+			if bytes.EqualFold(name, other) {
+				h.body = openBody
+			}
+		}
+	}
+}
+
+func (h *head) contentLength(value []byte) {
+	n, err := strconv.ParseInt(string(value), 10, 64)
+	switch {
+	case err != nil || n < 0 || h.body != noBody:
+		h.body = openBody
+	case n > 0:
+		h.body, h.length = sizedBody, n
+	}
+}
+
+// mayPrecede reports whether the request may be served before its turn, as far as its head tells.
+func (h *head) mayPrecede() bool {
+	return h.isRead && h.body == noBody && h.hosts == 1
+}
+
+func (h *head) reset() {
+	*h = head{line: h.line[:0]}
+}
--- /dev/null
+++ b/internal/pipeliner/pipe.go
@@ -0,0 +1,256 @@
+package pipeliner
+
+import (
+	"context"
+	"net"
+	"sync"
+	"sync/atomic"
+
+	"github.com/pkg/errors"
+)
+
+const (
+	// maxHeld bounds the bytes of responses that one connection holds until their turn, and maxHeldTotal those of all
+	// connections. Beyond them a response waits unsent, and its request keeps what it uses.
+	maxHeld      = 256 << 10
+	maxHeldTotal = 16 << 20
+)
+
+var errClosed = errors.New("the connection of the pipelined request is closed")
+
+// pipe writes the responses to the requests of one connection in the order of the requests.
+type pipe struct {
+	raw       net.Conn
+	totalHeld *atomic.Int64
+
+	mu      sync.Mutex
+	changed sync.Cond
+	// next is the number of the next request, and turn that of the request whose response is being written.
+	next uint64
+	turn uint64
+	// flushing is set while held bytes of the request with the turn are written.
+	flushing bool
+	held     map[uint64]*heldResponse
+	heldSize int
+	branches map[uint64]*branch
+	// ended is set when no further request may start, closeAtEnd when the connection closes after the last response, and
+	// closed when it is closed.
+	ended      bool
+	closeAtEnd bool
+	closed     bool
+}
+
+// heldResponse is a response whose turn has not come.
+type heldResponse struct {
+	data []byte
+	// done is set when the response is complete, and closes when the connection closes after it.
+	done   bool
+	closes bool
+}
+
+func newPipe(raw net.Conn, totalHeld *atomic.Int64) *pipe {
+	p := &pipe{raw: raw, totalHeld: totalHeld}
+	p.changed.L = &p.mu
+	return p
+}
+
+// begin assigns the next number. It returns false if no further request may start.
+func (p *pipe) begin() (order uint64, ok bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.ended || p.closed {
+		return 0, false
+	}
+	p.next++
+	return p.next - 1, true
+}
+
+// inProgress returns the number of requests whose responses are not complete.
+func (p *pipe) inProgress() int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return int(p.next - p.turn)
+}
+
+// awaitIdle waits until all responses are complete.
+func (p *pipe) awaitIdle() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for p.turn != p.next && !p.closed {
+		p.changed.Wait()
+	}
+}
+
+// hasTurn reports whether all responses before that of the request are complete.
+func (p *pipe) hasTurn(order uint64) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.turn == order
+}
+
+// awaitTurn waits until all responses before that of the request are complete. It returns false if the connection closes or the
+// context ends first. Whoever ends the context must wake the waiting.
+func (p *pipe) awaitTurn(ctx context.Context, order uint64) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for p.turn != order && !p.closed && ctx.Err() == nil {
+		p.changed.Wait()
+	}
+	return !p.closed && ctx.Err() == nil
+}
+
+// endAfter makes a request the last one of the connection. It returns false if others have started behind it.
+func (p *pipe) endAfter(order uint64) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.next != order+1 {
+		return false
+	}
+	p.ended = true
+	return true
+}
+
+// write writes a part of the response to a request, or holds it until its turn.
+func (p *pipe) write(order uint64, b []byte) (int, error) {
+	p.mu.Lock()
+	for (order != p.turn || p.flushing) && !p.closed {
+		if order != p.turn && p.hold(order, b) {
+			p.mu.Unlock()
+			return len(b), nil
+		}
+		p.changed.Wait()
+	}
+	closed := p.closed
+	p.mu.Unlock()
+	if closed {
+		return 0, errClosed
+	}
+	return p.raw.Write(b)
+}
+
+// hold keeps a copy of a part of a response, unless too much is held.
+func (p *pipe) hold(order uint64, b []byte) bool {
+	if p.heldSize+len(b) > maxHeld {
+		return false
+	}
+	if p.totalHeld.Add(int64(len(b))) > maxHeldTotal {
+		p.totalHeld.Add(-int64(len(b)))
+		return false
+	}
+	h := p.heldOf(order)
+	h.data = append(h.data, b...)
+	p.heldSize += len(b)
+	return true
+}
+
+func (p *pipe) heldOf(order uint64) *heldResponse {
+	if p.held == nil {
+		p.held = map[uint64]*heldResponse{}
+	}
+	h := p.held[order]
+	if h == nil {
+		h = &heldResponse{}
+		p.held[order] = h
+	}
+	return h
+}
+
+// finish completes the response to a request. With closes, the connection closes after it.
+func (p *pipe) finish(order uint64, closes bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.closed || order < p.turn {
+		return
+	}
+	if order != p.turn || p.flushing {
+		h := p.heldOf(order)
+		h.done, h.closes = true, closes
+		return
+	}
+	p.advance(closes)
+}
+
+// advance gives the turn to the next request, and further while the responses are complete. The lock is released while held bytes
+// are written.
+func (p *pipe) advance(closes bool) {
+	for {
+		delete(p.branches, p.turn)
+		p.turn++
+		if closes || (p.closeAtEnd && p.turn == p.next) {
+			p.close()
+			return
+		}
+		h := p.held[p.turn]
+		if h == nil {
+			break
+		}
+		data := h.data
+		h.data = nil
+		p.heldSize -= len(data)
+		p.totalHeld.Add(-int64(len(data)))
+		p.flushing = true
+		p.mu.Unlock()
+		_, err := p.raw.Write(data)
+		p.mu.Lock()
+		p.flushing = false
+		if p.closed {
+			return
+		}
+		if err != nil {
+			p.close()
+			return
+		}
+		if !h.done {
+			break
+		}
+		closes = h.closes
+		delete(p.held, p.turn)
+	}
+	p.changed.Broadcast()
+}
+
+// close closes the connection. Requests whose responses are not written are canceled.
+func (p *pipe) close() {
+	if p.closed {
+		return
+	}
+	p.closed, p.ended = true, true
+	p.totalHeld.Add(-int64(p.heldSize))
+	p.held, p.heldSize = nil, 0
+	for _, b := range p.branches {
+		b.cancel()
+	}
+	p.branches = nil
+	// The connection is given up, so an error from Close makes no difference.
+	_ = p.raw.Close()
+	p.changed.Broadcast()
+}
+
+// closeNow closes the connection.
+func (p *pipe) closeNow() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.close()
+}
+
+// closeWhenIdle closes the connection after the responses in progress.
+func (p *pipe) closeWhenIdle() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.ended = true
+	if p.turn == p.next {
+		p.close()
+		return
+	}
+	p.closeAtEnd = true
+}
+
+// addBranch registers the connection on which a request is served ahead of its turn.
+func (p *pipe) addBranch(b *branch) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.branches == nil {
+		p.branches = map[uint64]*branch{}
+	}
+	p.branches[b.order] = b
+}
--- /dev/null
+++ b/internal/pipeliner/pipeliner.go
@@ -0,0 +1,178 @@
+// Package pipeliner lets an HTTP/1.1 server work on several requests of one connection. A caller may send further requests before
+// the first one is answered; net/http serves them one after the other, so that each waits for all before it. Here, requests without
+// a body that may run more than once are served at once, on connections of their own within the process, and their responses are
+// held back until their turn.
+//
+// Load that it serves: callers that send a batch of reads on one connection, where one slow read would make all others late.
+package pipeliner
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"sync"
+	"sync/atomic"
+
+	"gopkg.in/tomb.v2"
+
+	"github.com/lavenderhub/lavenderhub/internal/timer"
+)
+
+// maxBranches bounds the requests of all connections that are served ahead of their turn.
+const maxBranches = 1024
+
+// Listener accepts callers' connections and the branches of pipelined requests. ConnState and ConnContext must be set at the server
+// that uses it.
+type Listener struct {
+	net.Listener
+	timer     *timer.Service
+	accepted  chan net.Conn
+	closed    chan struct{}
+	closeOnce sync.Once
+	stopped   atomic.Bool
+	branches  atomic.Int64
+	totalHeld atomic.Int64
+
+	errMu sync.Mutex
+	err   error
+}
+
+// Listen returns a Listener that accepts the connections of another one, in a goroutine of the tomb.
+func Listen(t *tomb.Tomb, inner net.Listener, tm *timer.Service) *Listener {
+	l := &Listener{Listener: inner, timer: tm, accepted: make(chan net.Conn), closed: make(chan struct{})}
+	t.Go(func() error {
+		l.acceptAll()
+		return nil
+	})
+	return l
+}
+
+// acceptAll accepts connections until the inner listener fails.
+func (l *Listener) acceptAll() {
+	for {
+		raw, err := l.Listener.Accept()
+		if err != nil {
+			l.fail(err)
+			return
+		}
+		select {
+		case l.accepted <- newConn(raw, l):
+		case <-l.closed:
+			_ = raw.Close()
+			return
+		}
+	}
+}
+
+func (l *Listener) fail(err error) {
+	l.errMu.Lock()
+	l.err = err
+	l.errMu.Unlock()
+	l.closeOnce.Do(func() { close(l.closed) })
+}
+
+// Accept implements net.Listener.
+func (l *Listener) Accept() (net.Conn, error) {
+	select {
+	case c := <-l.accepted:
+		return c, nil
+	case <-l.closed:
+		l.errMu.Lock()
+		defer l.errMu.Unlock()
+		if l.err != nil {
+			return nil, l.err
+		}
+		return nil, net.ErrClosed
+	}
+}
+
+// Close implements net.Listener.
+func (l *Listener) Close() error {
+	l.closeOnce.Do(func() { close(l.closed) })
+	return l.Listener.Close()
+}
+
+// StopBranches ends the reading ahead. Requests in progress continue.
+func (l *Listener) StopBranches() {
+	l.stopped.Store(true)
+}
+
+// mayBranch reports whether further requests may be served ahead of their turn.
+func (l *Listener) mayBranch() bool {
+	return !l.stopped.Load() && l.branches.Load() < maxBranches
+}
+
+// offer passes a branch to the server. It returns false if the server no longer accepts connections.
+func (l *Listener) offer(b *branch) bool {
+	select {
+	case l.accepted <- b:
+		return true
+	case <-l.closed:
+		return false
+	}
+}
+
+// ConnState is to be called by the server when the state of a connection changes.
+func (l *Listener) ConnState(c net.Conn, state http.ConnState) {
+	switch c := c.(type) {
+	case *conn:
+		if state == http.StateIdle {
+			c.completeRequest()
+		}
+	case *branch:
+		switch state {
+		case http.StateNew:
+			l.branches.Add(1)
+		case http.StateIdle:
+			c.end(false)
+		case http.StateClosed, http.StateHijacked:
+			l.branches.Add(-1)
+		}
+	}
+}
+
+type turnKey struct{}
+
+// turn is the place of a request among those of its connection.
+type turn struct {
+	pipe  *pipe
+	order func() uint64
+}
+
+// ConnContext is to be called by the server for the context of a connection.
+func (l *Listener) ConnContext(ctx context.Context, c net.Conn) context.Context {
+	switch c := c.(type) {
+	case *conn:
+		return context.WithValue(ctx, turnKey{}, turn{c.pipe, c.order.Load})
+	case *branch:
+		return context.WithValue(ctx, turnKey{}, turn{c.pipe, func() uint64 { return c.order }})
+	}
+	return ctx
+}
+
+// AwaitTurn waits until all requests that were sent before this one on its connection are answered. It must be called before a
+// request starts that may run once only. It returns false if the connection closes first.
+func AwaitTurn(ctx context.Context) bool {
+	t, ok := ctx.Value(turnKey{}).(turn)
+	if !ok {
+		return true
+	}
+	order := t.order()
+	if t.pipe.hasTurn(order) {
+		return true
+	}
+	stop := context.AfterFunc(ctx, func() {
+		t.pipe.mu.Lock()
+		defer t.pipe.mu.Unlock()
+		t.pipe.changed.Broadcast()
+	})
+	defer stop()
+	return t.pipe.awaitTurn(ctx, order)
+}
+
+// EndConnection reports whether the connection of a request may close after its response, and lets no further request start on it
+// then. It may not while requests behind it are in progress: they would be cut.
+func EndConnection(ctx context.Context) bool {
+	t, ok := ctx.Value(turnKey{}).(turn)
+	return !ok || t.pipe.endAfter(t.order())
+}
--- /dev/null
+++ b/internal/pipeliner/pipeliner_test.go
@@ -0,0 +1,390 @@
+package pipeliner
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"strconv"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"gopkg.in/tomb.v2"
+
+	"github.com/lavenderhub/lavenderhub/internal/timer"
+)
+
+// server serves requests whose query selects how: wait is the time until the response in milliseconds, size its length.
+type server struct {
+	t        *testing.T
+	http     *http.Server
+	listener *Listener
+	addr     string
+	started  atomic.Int64
+	canceled atomic.Int64
+	running  atomic.Int64
+	most     atomic.Int64
+}
+
+func startServer(t *testing.T) *server {
+	t.Helper()
+	inner, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	var group tomb.Tomb
+	s := &server{t: t, addr: inner.Addr().String()}
+	s.listener = Listen(&group, inner, timer.New())
+	s.http = &http.Server{Handler: s, ConnState: s.listener.ConnState, ConnContext: s.listener.ConnContext, ReadHeaderTimeout: 5 * time.Second}
+	group.Go(func() error {
+		_ = s.http.Serve(s.listener)
+		return nil
+	})
+	t.Cleanup(func() {
+		_ = s.http.Close()
+		_ = group.Wait()
+	})
+	return s
+}
+
+func (s *server) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	q := r.URL.Query()
+	if q.Has("once") && !AwaitTurn(r.Context()) {
+		return
+	}
+	s.started.Add(1)
+	s.enter()
+	defer s.running.Add(-1)
+	body, _ := io.ReadAll(r.Body)
+	wait, _ := strconv.Atoi(q.Get("wait"))
+	select {
+	case <-time.After(time.Duration(wait) * time.Millisecond):
+	case <-r.Context().Done():
+		s.canceled.Add(1)
+		return
+	}
+	if q.Has("close") && EndConnection(r.Context()) {
+		w.Header().Set("Connection", "close")
+	}
+	if q.Has("abort") {
+		panic(http.ErrAbortHandler)
+	}
+	size, _ := strconv.Atoi(q.Get("size"))
+	fmt.Fprintf(w, "%s%s%s", q.Get("id"), body, strings.Repeat("x", size))
+}
+
+// enter counts a request as running.
+func (s *server) enter() {
+	running := s.running.Add(1)
+	for {
+		most := s.most.Load()
+		if running <= most || s.most.CompareAndSwap(most, running) {
+			return
+		}
+	}
+}
+
+func (s *server) dial() net.Conn {
+	s.t.Helper()
+	c, err := net.Dial("tcp", s.addr)
+	if err != nil {
+		s.t.Fatal(err)
+	}
+	s.t.Cleanup(func() { _ = c.Close() })
+	_ = c.SetDeadline(time.Now().Add(10 * time.Second))
+	return c
+}
+
+func read(query string) string {
+	return "GET /?" + query + " HTTP/1.1\r\nHost: a\r\n\r\n"
+}
+
+// responses reads responses until the connection ends or n have come, and returns the status codes and bodies.
+func responses(c net.Conn, n int) (out []string, err error) {
+	br := bufio.NewReader(c)
+	for range n {
+		resp, err := http.ReadResponse(br, nil)
+		if err != nil {
+			return out, err
+		}
+		body, err := io.ReadAll(resp.Body)
+		if err != nil {
+			return out, err
+		}
+		out = append(out, fmt.Sprint(resp.StatusCode, " ", string(body)))
+	}
+	return out, nil
+}
+
+func (s *server) exchange(c net.Conn, want ...string) {
+	s.t.Helper()
+	got, err := responses(c, len(want))
+	if strings.Join(got, "|") != strings.Join(want, "|") {
+		s.t.Errorf("got %.200q, %v; want %.200q", got, err, want)
+	}
+}
+
+// TestSlowRequestDelaysThoseBehind guards against pipelined requests that are served one after the other.
+func TestSlowRequestDelaysThoseBehind(t *testing.T) {
+	s := startServer(t)
+	c := s.dial()
+	start := time.Now()
+	_, _ = io.WriteString(c, read("id=a&wait=300")+read("id=b&wait=300")+read("id=c&wait=300"))
+	s.exchange(c, "200 a", "200 b", "200 c")
+	if took := time.Since(start); took > 700*time.Millisecond {
+		t.Errorf("three requests of 300 ms took %v", took)
+	}
+	if n := s.started.Load(); n != 3 {
+		t.Errorf("%d requests ran, want 3", n)
+	}
+}
+
+// TestFastResponseOvertakesSlowOne guards against responses in another order than the requests.
+func TestFastResponseOvertakesSlowOne(t *testing.T) {
+	s := startServer(t)
+	c := s.dial()
+	_, _ = io.WriteString(c, read("id=a&wait=100")+read("id=b")+read("id=c&wait=30&size=100000")+read("id=d"))
+	s.exchange(c, "200 a", "200 b", "200 c"+strings.Repeat("x", 100000), "200 d")
+	_, _ = io.WriteString(c, read("id=e"))
+	s.exchange(c, "200 e")
+}
+
+// TestWriteStartsBeforeItsTurn guards against a request with an effect that starts before all that stands ahead of it is answered.
+func TestWriteStartsBeforeItsTurn(t *testing.T) {
+	tests := []struct{ name, request string }{
+		{"body", "POST /?id=w HTTP/1.1\r\nHost: a\r\nContent-Length: 2\r\n\r\nok"},
+		{"chunks", "POST /?id=w HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\n\r\n"},
+		{"no body", "POST /?id=wok HTTP/1.1\r\nHost: a\r\n\r\n"},
+		{"read that may run once", read("id=wok&once=1")},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			s := startServer(t)
+			c := s.dial()
+			_, _ = io.WriteString(c, read("id=a&wait=150")+read("id=b&wait=100")+tt.request+read("id=c"))
+			time.Sleep(80 * time.Millisecond)
+			if n := s.started.Load(); n > 3 {
+				t.Errorf("%d requests started while the first one runs", n)
+			}
+			s.exchange(c, "200 a", "200 b", "200 wok", "200 c")
+		})
+	}
+}
+
+// TestCallerLeavesWithRequestsOpen guards against requests that begin, or run on, after their caller has left.
+func TestCallerLeavesWithRequestsOpen(t *testing.T) {
+	s := startServer(t)
+	c := s.dial()
+	_, _ = io.WriteString(c, read("id=a&wait=5000")+read("id=b&wait=5000")+read("id=c&wait=5000")+read("id=d&once=1&wait=5000"))
+	for s.started.Load() < 3 {
+		time.Sleep(time.Millisecond)
+	}
+	_ = c.Close()
+	for end := time.Now().Add(2 * time.Second); s.running.Load() > 0 && time.Now().Before(end); {
+		time.Sleep(time.Millisecond)
+	}
+	if started, running := s.started.Load(), s.running.Load(); started != 3 || running != 0 {
+		t.Errorf("%d requests started and %d run on, want 3 and 0", started, running)
+	}
+}
+
+// TestClosingResponseCutsThoseBehind guards against a connection that closes while requests behind the response are in progress.
+func TestClosingResponseCutsThoseBehind(t *testing.T) {
+	s := startServer(t)
+	c := s.dial()
+	_, _ = io.WriteString(c, read("id=a&wait=100&close=1")+read("id=b&wait=150&close=1")+read("id=c&wait=200&close=1"))
+	s.exchange(c, "200 a", "200 b", "200 c")
+	if _, err := responses(c, 1); err == nil {
+		t.Error("the connection stays open after the last response")
+	}
+}
+
+// TestRequestBehindClosingResponseRuns guards against a request that runs although the response ahead of it closes the connection.
+func TestRequestBehindClosingResponseRuns(t *testing.T) {
+	s := startServer(t)
+	c := s.dial()
+	_, _ = io.WriteString(c, "GET /?id=a&wait=50 HTTP/1.1\r\nHost: a\r\nConnection: close\r\n\r\n"+read("id=b"))
+	s.exchange(c, "200 a")
+	if got, err := responses(c, 1); err == nil || s.started.Load() != 1 {
+		t.Errorf("got %q behind a closing response, %d requests ran", got, s.started.Load())
+	}
+}
+
+// TestAbortedResponseLooksComplete guards against a response that broke off and is followed by another one.
+func TestAbortedResponseLooksComplete(t *testing.T) {
+	s := startServer(t)
+	c := s.dial()
+	_, _ = io.WriteString(c, read("id=a&wait=50")+read("id=b&abort=1")+read("id=c"))
+	got, err := responses(c, 3)
+	if err == nil || len(got) != 1 || got[0] != "200 a" {
+		t.Errorf("got %q, %v; want one response and the end of the connection", got, err)
+	}
+}
+
+// TestGarbageBehindRequests guards against garbage that is answered before its turn, and requests behind it that run.
+func TestGarbageBehindRequests(t *testing.T) {
+	tests := []struct{ name, garbage string }{
+		{"no request", "garbage\r\n\r\n"},
+		{"bad header", "GET / HTTP/1.1\r\nHost: a\r\nbad header\r\n\r\n"},
+		{"two lengths", "GET / HTTP/1.1\r\nHost: a\r\nContent-Length: 0\r\nContent-Length: 4\r\n\r\n"},
+		{"no host", "GET / HTTP/1.1\r\n\r\n"},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			s := startServer(t)
+			c := s.dial()
+			_, _ = io.WriteString(c, read("id=a&wait=100")+read("id=b&wait=50")+tt.garbage+read("id=c"))
+			got, err := responses(c, 4)
+			if len(got) != 3 || got[0] != "200 a" || got[1] != "200 b" || !strings.HasPrefix(got[2], "400 ") || err == nil {
+				t.Errorf("got %q, %v; want two responses, 400 and the end of the connection", got, err)
+			}
+			if n := s.started.Load(); n != 2 {
+				t.Errorf("%d requests ran, want the 2 ahead of the garbage", n)
+			}
+		})
+	}
+}
+
+// TestStopWithRequestsOpen guards against a stop that cuts pipelined requests.
+func TestStopWithRequestsOpen(t *testing.T) {
+	s := startServer(t)
+	c := s.dial()
+	_, _ = io.WriteString(c, read("id=a&wait=150")+read("id=b&wait=200&close=1")+read("id=c&wait=250&close=1"))
+	for s.started.Load() < 3 {
+		time.Sleep(time.Millisecond)
+	}
+	s.listener.StopBranches()
+	s.exchange(c, "200 a", "200 b", "200 c")
+	ctx, cancel := context.WithTimeout(t.Context(), 3*time.Second)
+	defer cancel()
+	if err := s.http.Shutdown(ctx); err != nil {
+		t.Errorf("shutdown: %v", err)
+	}
+}
+
+// TestBoundOnRequestsAhead guards against one connection that takes more of the server than its share.
+func TestBoundOnRequestsAhead(t *testing.T) {
+	s := startServer(t)
+	c := s.dial()
+	var want []string
+	var requests strings.Builder
+	for i := range 100 {
+		requests.WriteString(read(fmt.Sprintf("id=%d&wait=10&size=20000", i)))
+		want = append(want, fmt.Sprint("200 ", i, strings.Repeat("x", 20000)))
+	}
+	_, _ = io.WriteString(c, requests.String())
+	time.Sleep(200 * time.Millisecond)
+	s.exchange(c, want...)
+	if most := s.most.Load(); most > maxAhead {
+		t.Errorf("%d requests of one connection ran at a time, want at most %d", most, maxAhead)
+	}
+	if held := s.listener.totalHeld.Load(); held != 0 {
+		t.Errorf("%d bytes are counted as held at the end", held)
+	}
+}
+
+// TestRandomPipelines guards against a response that reaches another request, with random requests that arrive in random pieces.
+func TestRandomPipelines(t *testing.T) {
+	s := startServer(t)
+	var group sync.WaitGroup
+	for seed := range uint64(30) {
+		group.Go(func() {
+			random := rand.New(rand.NewPCG(seed, 1))
+			c := s.dial()
+			var text strings.Builder
+			var want []string
+			for i := range 20 {
+				id := fmt.Sprintf("%d.%d", seed, i)
+				query := fmt.Sprintf("id=%s&wait=%d&size=%d", id, random.IntN(20), random.IntN(9000))
+				size, _ := strconv.Atoi(query[strings.LastIndex(query, "=")+1:])
+				switch random.IntN(5) {
+				case 0:
+					text.WriteString("POST /?" + query + " HTTP/1.1\r\nHost: a\r\nContent-Length: 3\r\n\r\n123")
+					want = append(want, "200 "+id+"123"+strings.Repeat("x", size))
+				default:
+					text.WriteString(read(query))
+					want = append(want, "200 "+id+strings.Repeat("x", size))
+				}
+			}
+			group.Go(func() {
+				rest := text.String()
+				for len(rest) > 0 {
+					n := min(len(rest), 1+random.IntN(300))
+					if _, err := io.WriteString(c, rest[:n]); err != nil {
+						return
+					}
+					rest = rest[n:]
+					time.Sleep(time.Duration(random.IntN(3)) * time.Millisecond)
+				}
+			})
+			got, err := responses(c, len(want))
+			for i := range want {
+				if i >= len(got) || got[i] != want[i] {
+					t.Errorf("seed %d: response %d of %d differs, %v", seed, i, len(got), err)
+					return
+				}
+			}
+		})
+	}
+	group.Wait()
+	if n := s.listener.branches.Load(); n > maxBranches {
+		t.Errorf("%d branches", n)
+	}
+}
+
+// TestConnectionClosesWithoutLosingResponse guards against a reset that overtakes the refusal of a long request.
+func TestConnectionClosesWithoutLosingResponse(t *testing.T) {
+	s := startServer(t)
+	c := s.dial()
+	_, _ = io.WriteString(c, "GET / HTTP/1.1\r\nHost: a\r\nLong: "+strings.Repeat("x", 2<<20))
+	got, err := responses(c, 1)
+	if len(got) != 1 || !strings.HasPrefix(got[0], "431 ") {
+		t.Errorf("got %q, %v; want 431", got, err)
+	}
+}
+
+// BenchmarkRequest measures one request on a kept connection that is never pipelined, with and without this package.
+func BenchmarkRequest(b *testing.B) {
+	for _, pipelining := range []bool{false, true} {
+		b.Run(fmt.Sprint("pipelining=", pipelining), func(b *testing.B) {
+			ln, err := net.Listen("tcp", "127.0.0.1:0")
+			if err != nil {
+				b.Fatal(err)
+			}
+			var group tomb.Tomb
+			srv := &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { _, _ = w.Write([]byte("hello")) })}
+			served := ln
+			if pipelining {
+				l := Listen(&group, ln, timer.New())
+				srv.ConnState, srv.ConnContext, served = l.ConnState, l.ConnContext, l
+			}
+			group.Go(func() error {
+				_ = srv.Serve(served)
+				return nil
+			})
+			c, err := net.Dial("tcp", ln.Addr().String())
+			if err != nil {
+				b.Fatal(err)
+			}
+			br := bufio.NewReader(c)
+			b.ReportAllocs()
+			for b.Loop() {
+				_, _ = io.WriteString(c, "GET / HTTP/1.1\r\nHost: a\r\nX-Attempt-Id: 123\r\n\r\n")
+				resp, err := http.ReadResponse(br, nil)
+				if err != nil {
+					b.Fatal(err)
+				}
+				_, _ = io.Copy(io.Discard, resp.Body)
+			}
+			_ = c.Close()
+			_ = srv.Close()
+			_ = group.Wait()
+		})
+	}
+}
--- a/internal/runner/node.go
+++ b/internal/runner/node.go
@@ -290,6 +290,7 @@
 	end := n.Timer.Now().Add(limit - sendMargin)
 	n.Log.Info("nodeStopping", zap.String("node", n.cfg.GetName()))
 	n.forwarder.Stop()
+	n.callerServer.StopPipelining()
 	n.aggregator.Stop()
 	_ = n.Timer.Sleep(ctx, notice)
 	n.forwarder.RefuseBeyond(end)
--- a/internal/runner/platform_test.go
+++ b/internal/runner/platform_test.go
@@ -47,6 +47,9 @@
 	earlyBodies []string
 }
 
+// slowResponse is the time until a slow response of the simulated upstream.
+const slowResponse = 300 * time.Millisecond
+
 // refusalWithoutID is sent by an upstream that has no room.
 const refusalWithoutID = "HTTP/1.1 503 Service Unavailable\r\nX-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n"
 
@@ -126,6 +129,9 @@
 	switch kind {
 	case "failed":
 		fmt.Fprintf(c, "HTTP/1.1 500 Internal Server Error\r\n%sContent-Length: 4\r\n\r\noops", head)
+	case "slow":
+		time.Sleep(slowResponse)
+		fmt.Fprintf(c, "HTTP/1.1 200 OK\r\n%sContent-Length: 5\r\n\r\nhello", head)
 	case "broken-head":
 		fmt.Fprintf(c, "HTTP/1.1 200 OK\r\n%sContent-Le", head)
 		return false
@@ -388,6 +394,43 @@
 	}
 }
 
+// TestPlatformPipelinedRequestsWaitForEachOther guards against pipelined reads that are served one after the other, against responses
+// in another order, and against a request that may run once only and starts before its turn.
+func TestPlatformPipelinedRequestsWaitForEachOther(t *testing.T) {
+	f := startServingPlatformFleet(t)
+	c, err := net.Dial("tcp", f.nodes[0].node.CallerAddr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = c.Close() }()
+	_ = c.SetDeadline(time.Now().Add(5 * time.Second))
+	targets := []string{"/zero/slow", "/zero/a", "/zero/slow", "/one/a", "/zero/slow"}
+	start := time.Now()
+	for i, target := range targets {
+		fmt.Fprintf(c, "GET %s HTTP/1.1\r\nHost: a.example\r\nX-Attempt-Id: piped-%d\r\nX-Deadline-Ms: 4000\r\n"+
+			"Authorization: Bearer key-a\r\n\r\n", target, i)
+	}
+	time.Sleep(slowResponse / 2)
+	if n := f.workers[1].runCount("piped-3"); n != 0 {
+		t.Errorf("a request that may run once only started before its turn")
+	}
+	br := bufio.NewReader(c)
+	for i := range targets {
+		resp, err := http.ReadResponse(br, nil)
+		if err != nil {
+			t.Fatal(err)
+		}
+		body, err := io.ReadAll(resp.Body)
+		id := resp.Header.Get("X-Attempt-Id")
+		if err != nil || resp.StatusCode != http.StatusOK || string(body) != "hello" || id != fmt.Sprint("piped-", i) {
+			t.Errorf("response %d: status %d, ID %q, body %q, %v", i, resp.StatusCode, id, body, err)
+		}
+	}
+	if took := time.Since(start); took > 2*slowResponse {
+		t.Errorf("five pipelined requests took %v, three of them %v at the upstream", took, slowResponse)
+	}
+}
+
 // TestPlatformBrokenHeadLooksComplete guards against an upstream that stops in the middle of its response's head: the caller would
 // get a complete response with an empty body.
 func TestPlatformBrokenHeadLooksComplete(t *testing.T) {
