Accept connections again after a passing error

Cause: the listener in front of the server ended at any error of accept, also at a lack of file descriptors, which passes. net/http's server itself pauses and calls again. Change: passing errors reach the server. TestLackOfDescriptorsEndsListener hangs without it.

--- a/internal/pipeliner/pipeliner.go
+++ b/internal/pipeliner/pipeliner.go
@@ -26,7 +26,7 @@
 type Listener struct {
 	net.Listener
 	timer     *timer.Service
-	accepted  chan net.Conn
+	accepted  chan acceptance
 	closed    chan struct{}
 	closeOnce sync.Once
 	stopped   atomic.Bool
@@ -37,9 +37,15 @@
 	err   error
 }
 
+// acceptance is a result of Accept.
+type acceptance struct {
+	conn net.Conn
+	err  error
+}
+
 // Listen returns a Listener that accepts the connections of another one, in a goroutine of the tomb.
 func Listen(t *tomb.Tomb, inner net.Listener, tm *timer.Service) *Listener {
-	l := &Listener{Listener: inner, timer: tm, accepted: make(chan net.Conn), closed: make(chan struct{})}
+	l := &Listener{Listener: inner, timer: tm, accepted: make(chan acceptance), closed: make(chan struct{})}
 	t.Go(func() error {
 		l.acceptAll()
 		return nil
@@ -47,23 +53,35 @@
 	return l
 }
 
-// acceptAll accepts connections until the inner listener fails.
+// acceptAll accepts connections until the inner listener fails for good. Passing errors, such as a lack of file descriptors, reach
+// the server, which calls Accept again after a pause.
 func (l *Listener) acceptAll() {
 	for {
 		raw, err := l.Listener.Accept()
-		if err != nil {
+		next := acceptance{err: err}
+		if err == nil {
+			next.conn = newConn(raw, l)
+		} else if !isTemporary(err) {
 			l.fail(err)
 			return
 		}
 		select {
-		case l.accepted <- newConn(raw, l):
+		case l.accepted <- next:
 		case <-l.closed:
-			_ = raw.Close()
+			if raw != nil {
+				_ = raw.Close()
+			}
 			return
 		}
 	}
 }
 
+// isTemporary reports whether a listener may accept connections again after an error, by the method that net/http's server uses.
+func isTemporary(err error) bool {
+	temporary, ok := err.(interface{ Temporary() bool })
+	return ok && temporary.Temporary()
+}
+
 func (l *Listener) fail(err error) {
 	l.errMu.Lock()
 	l.err = err
@@ -74,8 +92,8 @@
 // Accept implements net.Listener.
 func (l *Listener) Accept() (net.Conn, error) {
 	select {
-	case c := <-l.accepted:
-		return c, nil
+	case a := <-l.accepted:
+		return a.conn, a.err
 	case <-l.closed:
 		l.errMu.Lock()
 		defer l.errMu.Unlock()
@@ -105,7 +123,7 @@
 // offer passes a branch to the server. It returns false if the server no longer accepts connections.
 func (l *Listener) offer(b *branch) bool {
 	select {
-	case l.accepted <- b:
+	case l.accepted <- acceptance{conn: b}:
 		return true
 	case <-l.closed:
 		return false
--- a/internal/pipeliner/pipeliner_test.go
+++ b/internal/pipeliner/pipeliner_test.go
@@ -5,6 +5,7 @@
 	"context"
 	"fmt"
 	"io"
+	"log"
 	"math/rand/v2"
 	"net"
 	"net/http"
@@ -12,6 +13,7 @@
 	"strings"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"testing"
 	"time"
 
@@ -349,6 +351,43 @@
 	}
 }
 
+// scarceListener fails at first, as a listener of a process without free file descriptors does.
+type scarceListener struct {
+	net.Listener
+	failures atomic.Int64
+}
+
+func (l *scarceListener) Accept() (net.Conn, error) {
+	if l.failures.Add(-1) >= 0 {
+		return nil, &net.OpError{Op: "accept", Err: syscall.EMFILE}
+	}
+	return l.Listener.Accept()
+}
+
+// TestLackOfDescriptorsEndsListener guards against a node that takes no connections any more after it once had no free file
+// descriptor.
+func TestLackOfDescriptorsEndsListener(t *testing.T) {
+	inner, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	scarce := &scarceListener{Listener: inner}
+	scarce.failures.Store(3)
+	var group tomb.Tomb
+	l := Listen(&group, scarce, timer.New())
+	s := &server{t: t, addr: inner.Addr().String(), listener: l}
+	s.http = &http.Server{Handler: s, ConnState: l.ConnState, ConnContext: l.ConnContext, ErrorLog: log.New(io.Discard, "", 0)}
+	group.Go(func() error {
+		_ = s.http.Serve(l)
+		return nil
+	})
+	c := s.dial()
+	_, _ = io.WriteString(c, read("id=a"))
+	s.exchange(c, "200 a")
+	_ = s.http.Close()
+	_ = group.Wait()
+}
+
 // BenchmarkRequest measures one request on a kept connection that is never pipelined, with and without this package.
 func BenchmarkRequest(b *testing.B) {
 	for _, pipelining := range []bool{false, true} {
