Refuse a flood of an account over its rate at once; elect a leader sooner

After the loss of the leader keyed requests were refused as notReady 0.75 s on average, since elections had been made slower. Change: no more requests of an oversubscribed account wait at a node than twice the tokens that it may expect in that time, counted among those of the same importance or a higher one. An election starts 0.4 to 0.6 s after the last heartbeat (0.5 to 1.0).

--- a/internal/limiter/bucket.go
+++ b/internal/limiter/bucket.go
@@ -65,6 +65,7 @@
 	arrivals        arrivals
 	oversubscribed  bool
 	spentCount      uint64
+	tokenRate       tokenRate
 	demand          float64
 	demandUpdated   time.Time
 	fleetDemand     float64
@@ -151,6 +152,10 @@
 		b.mu.Unlock()
 		return Admitted
 	}
+	if b.isQueueFull(importance, maxWait, now) {
+		b.mu.Unlock()
+		return OverRate
+	}
 	ready := make(chan struct{}, 1)
 	index := b.waiters.add(waiter{ready: ready, importance: importance})
 	b.serveWaiters(now)
@@ -250,6 +255,7 @@
 	}
 	b.lease.tokens -= 1 - need
 	b.spentCount++
+	b.tokenRate.add(1, now)
 	for need > 0 && len(b.batches) > 0 {
 		first := &b.batches[0]
 		part := min(need, first.tokens)
--- a/internal/limiter/oversubscription.go
+++ b/internal/limiter/oversubscription.go
@@ -21,6 +21,41 @@
 	waitingReportLifetime = 300 * time.Millisecond
 )
 
+// minQueue is the number of requests that may always wait for a token at a node.
+const minQueue = 4
+
+// isQueueFull reports whether a request of an oversubscribed account would wait in vain: as many requests of its importance or a
+// higher one wait as twice the tokens that its node may expect in that time. Refused at once, its caller can come back sooner, and
+// a flood of requests holds no memory.
+func (b *Bucket) isQueueFull(importance uint32, maxWait time.Duration, now time.Time) bool {
+	if !b.oversubscribed || len(b.waiters) < minQueue || now.Sub(b.lastReply) > demandLifetime {
+		return false
+	}
+	ahead := 0
+	for _, w := range b.waiters {
+		if w.importance >= importance {
+			ahead++
+		}
+	}
+	return float64(ahead) >= max(minQueue, 2*b.tokenRate.at(now)*maxWait.Seconds())
+}
+
+// tokenRate is the moving average of the tokens that a node gets, in tokens per second.
+type tokenRate struct {
+	value     float64
+	updatedAt time.Time
+}
+
+// add counts tokens that a node has spent.
+func (r *tokenRate) add(n float64, now time.Time) {
+	r.value = r.at(now) + n/demandWindow.Seconds()
+	r.updatedAt = now
+}
+
+func (r *tokenRate) at(now time.Time) float64 {
+	return r.value * math.Exp(-max(0, now.Sub(r.updatedAt)).Seconds()/demandWindow.Seconds())
+}
+
 // waiter is a request that waits for a token.
 type waiter struct {
 	ready      chan struct{}
--- a/internal/replicator/core.go
+++ b/internal/replicator/core.go
@@ -13,14 +13,15 @@
 
 const (
 	// HeartbeatInterval is the time between a leader's heartbeat rounds.
-	HeartbeatInterval = 100 * time.Millisecond
+	HeartbeatInterval = 80 * time.Millisecond
 	// learnerInterval is the time between heartbeats to a learner that lacks no entries. A learner doesn't vote, and each
 	// heartbeat costs the leader about as much as a node's exchange.
-	learnerInterval = 4 * HeartbeatInterval
+	learnerInterval = 5 * HeartbeatInterval
 	// ElectionTimeout is the minimum time without contact from the leader after which another may be elected. Each
-	// replica waits for a random time of at least ElectionTimeout and at most twice as long. It covers five heartbeats, since
-	// a process with a quarter of a core may be without it for a few hundred milliseconds.
-	ElectionTimeout = 500 * time.Millisecond
+	// replica waits for up to electionSpread longer, at random. It covers five heartbeats, since a process with a quarter of a
+	// core may be without it for a few hundred milliseconds.
+	ElectionTimeout = 400 * time.Millisecond
+	electionSpread  = ElectionTimeout / 2
 	// LeaseDuration is how long a leader's lease lasts from the start of a round that a quorum acknowledged. It is shorter
 	// than ElectionTimeout to allow for clocks that run at different rates.
 	LeaseDuration = ElectionTimeout - ElectionTimeout/10
@@ -329,7 +330,7 @@
 }
 
 func (c *Core) resetElectionDeadline(now time.Time) {
-	c.electionDeadline = now.Add(ElectionTimeout + time.Duration(c.random(int64(ElectionTimeout))))
+	c.electionDeadline = now.Add(ElectionTimeout + time.Duration(c.random(int64(electionSpread))))
 }
 
 // Compact makes a snapshot of the given state at an applied index and drops the entries that precede the index by more
