Forget levels of workers that get no calls

Cause: an entry drew the level of a random worker, also of one that had got no call for up to 10 s; the nodes further up took such a level for new and handed it on. Steps of one size took 25 s to cross the ranks between two importances of accounts. Change: levels older than a second count only if no worker has a newer one; they are lowered in growing steps, and forgotten after 5 s.

--- a/internal/router/levels.go
+++ b/internal/router/levels.go
@@ -7,14 +7,17 @@
 )
 
 const (
-	// levelHoldTime is how long a reported level holds before it is lowered to probe the worker.
+	// levelHoldTime is how long a reported level holds. Levels of workers without a response in that time are used only if no
+	// worker has a newer one.
 	levelHoldTime = time.Second
-	// levelStepTime is the time between two steps by which it is lowered then, and levelStep their size in ranks: a sixteenth of
-	// the ranks of one class, so that only a few requests find out whether the overload has passed.
-	levelStepTime = 100 * time.Millisecond
-	levelStep     = 1 << 12
+	// levelStepTime is the time between two steps by which an old level is lowered, and levelStep the size of the first one in
+	// ranks: a sixteenth of the ranks of one class, so that a few requests find out whether the overload has passed. Steps double
+	// each stepsBeforeDoubling, since the classes in use may be far apart.
+	levelStepTime       = 100 * time.Millisecond
+	levelStep           = 1 << 12
+	stepsBeforeDoubling = 5
 	// levelLifetime is the time without a response after which a level is discarded.
-	levelLifetime = 10 * time.Second
+	levelLifetime = 5 * time.Second
 )
 
 // Levels stores the admission levels that workers reported in their responses, per service and route. It is safe for
@@ -79,16 +82,26 @@
 func (l *routeLevels) draw(now time.Time) uint32 {
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	recent := 0
 	for worker, w := range l.byWorker {
-		if now.Sub(w.at) > levelLifetime {
+		switch age := now.Sub(w.at); {
+		case age > levelLifetime:
 			delete(l.byWorker, worker)
+		case age <= levelHoldTime:
+			recent++
 		}
 	}
 	if len(l.byWorker) == 0 {
 		return 0
 	}
-	skip := rand.IntN(len(l.byWorker))
+	skip := rand.IntN(max(recent, 1))
+	if recent == 0 {
+		skip = rand.IntN(len(l.byWorker))
+	}
 	for _, w := range l.byWorker {
+		if recent > 0 && now.Sub(w.at) > levelHoldTime {
+			continue
+		}
 		if skip == 0 {
 			return w.lowered(now)
 		}
@@ -99,9 +112,13 @@
 
 // lowered returns the level as lowered by the time without a response.
 func (w workerLevel) lowered(now time.Time) uint32 {
-	steps := uint64(max(0, now.Sub(w.at)-levelHoldTime) / levelStepTime)
-	if steps*levelStep >= uint64(w.value) {
+	steps := int(max(0, now.Sub(w.at)-levelHoldTime) / levelStepTime)
+	decrease := uint64(0)
+	for i := range steps {
+		decrease += levelStep << (i / stepsBeforeDoubling)
+	}
+	if decrease >= uint64(w.value) {
 		return 0
 	}
-	return w.value - uint32(steps*levelStep)
+	return w.value - uint32(decrease)
 }
