Lower an admission level by what is in progress, and by whole classes when idle

Cause: the level fell only while admitted requests x mean time left room; the mean of a service that had waited for others was seconds old and long, since few requests were admitted. Each class was opened anew from 1/64. Change: a level falls by the measured number of requests in progress; below half of the limit by a class at a time. It rises by at most half of the admitted requests in a window, by the larger of what was served and what the mean allows.

--- a/internal/admitter/call_chain_test.go
+++ b/internal/admitter/call_chain_test.go
@@ -27,6 +27,12 @@
 	// down out of the reports.
 	noRoots  bool
 	noNested bool
+	// accounts gives the requests accounts of two importances, which precede that of their kind.
+	accounts bool
+	// surge multiplies the load until surgeEnd. Requests that start before countFrom are not counted.
+	surge     float64
+	surgeEnd  time.Time
+	countFrom time.Time
 }
 
 // chainKind is a kind of request from callers.
@@ -196,7 +202,11 @@
 	entry := c.entries[c.random(len(c.entries))]
 	start := time.Now()
 	c.mu.Lock()
-	rank := admitter.NewRank(k.importance, 0, binary.LittleEndian.AppendUint32(nil, c.rng.Uint32()), 1, 1)
+	importance, priority := k.importance, uint32(0)
+	if c.accounts {
+		importance, priority = 6+uint32(c.rng.IntN(2)), k.importance
+	}
+	rank := admitter.NewRank(importance, priority, binary.LittleEndian.AppendUint32(nil, c.rng.Uint32()), 1, 1)
 	c.mu.Unlock()
 	refused := uint32(rank) < entry.Of(k.service, k.route, start)
 	ok := false
@@ -208,6 +218,9 @@
 	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	if start.Before(c.countFrom) {
+		return
+	}
 	k.sent++
 	switch {
 	case refused:
@@ -226,7 +239,11 @@
 		arrivals := rand.New(rand.NewPCG(uint64(i), 7))
 		group.Go(func() {
 			for start := time.Now(); time.Since(start) < length; {
-				time.Sleep(time.Duration(arrivals.ExpFloat64() / k.perSecond * float64(time.Second)))
+				perSecond := k.perSecond
+				if time.Now().Before(c.surgeEnd) {
+					perSecond *= c.surge
+				}
+				time.Sleep(time.Duration(arrivals.ExpFloat64() / perSecond * float64(time.Second)))
 				group.Go(func() { c.request(k) })
 			}
 		})
@@ -266,6 +283,24 @@
 	})
 }
 
+// TestLevelOutlivesOverload guards against levels that refuse requests after a surge has ended. Accounts of two importances give the
+// levels several classes to cross.
+func TestLevelOutlivesOverload(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const surge, calm, recovery, want = 5 * time.Second, 8 * time.Second, 4 * time.Second, 0.97
+		c := newChain(1.0)
+		c.accounts = true
+		c.surge, c.surgeEnd = 8, time.Now().Add(surge)
+		c.countFrom = c.surgeEnd.Add(recovery)
+		c.run(t, surge+calm)
+		for _, k := range c.kinds {
+			if k.share(k.good) < want {
+				t.Errorf("%s: %.3f good from %v after the surge on, want %v", k.name, k.share(k.good), recovery, want)
+			}
+		}
+	})
+}
+
 // TestLevelsReachEntries shows what the levels of services further down, and the ranks of the roots of calls, are worth to
 // callers: without both the important kinds get less.
 func TestLevelsReachEntries(t *testing.T) {
--- a/internal/admitter/gate.go
+++ b/internal/admitter/gate.go
@@ -69,6 +69,9 @@
 	mean        time.Duration
 	windowStart time.Time
 	served      int
+	// busyTime is the total time of the requests in progress in the current window, up to countedAt.
+	busyTime  time.Duration
+	countedAt time.Time
 	// queueShed reports whether a queued request was shed, or the queue was full, in the current window.
 	queueShed bool
 	// standingQueue reports whether the queue was not empty when the current window began, and has not been empty since.
@@ -119,7 +122,7 @@
 // New returns a gate for an upstream with the given number of slots.
 func New(slots int, t *timer.Service, assert *asserter.Asserter, opts ...Option) *Gate {
 	now := t.Now()
-	g := &Gate{timer: t, assert: assert, limit: newLimit(slots, now), windowStart: now, slots: slots, usableShare: 1}
+	g := &Gate{timer: t, assert: assert, limit: newLimit(slots, now), windowStart: now, countedAt: now, slots: slots, usableShare: 1}
 	for _, opt := range opts {
 		opt(g)
 	}
@@ -285,13 +288,14 @@
 	g := t.gate
 	g.mu.Lock()
 	defer g.mu.Unlock()
+	now := g.timer.Now()
+	g.countBusyTime(now)
 	g.inflight--
 	g.served++
 	if !s.Shed {
 		g.mean += time.Duration(float64(s.Total-g.mean) * latencyWeight)
 	}
 	g.limit.recordRequest(s.Self, s.Shed)
-	now := g.timer.Now()
 	g.endWindow(now)
 	g.dispatch(now)
 }
@@ -301,8 +305,10 @@
 	g := t.gate
 	g.mu.Lock()
 	defer g.mu.Unlock()
+	now := g.timer.Now()
+	g.countBusyTime(now)
 	g.inflight--
-	g.dispatch(g.timer.Now())
+	g.dispatch(now)
 }
 
 // dispatch admits waiting requests while the limit allows it.
@@ -341,6 +347,7 @@
 
 // endWindow updates the level and the limit if the current window has elapsed.
 func (g *Gate) endWindow(now time.Time) {
+	g.countBusyTime(now)
 	if g.queue.Len() == 0 {
 		g.standingQueue = false
 	}
@@ -352,23 +359,41 @@
 	if elapsed < maxLevelWindow && g.served < minServed && g.queue.Len() > 0 {
 		return
 	}
-	g.level.update(g.load(elapsed), g.pressure(), now)
+	g.level.update(g.demand(elapsed), g.occupancy(elapsed), g.pressure(), now)
 	for range min(int(elapsed/levelWindow)-1, maxIdleWindows) {
 		if g.queue.Len() == 0 {
-			g.level.update(0, relaxed, now)
+			g.level.update(0, 0, relaxed, now)
 		}
 	}
 	g.windowStart = now
-	g.served, g.queueShed = 0, false
+	g.served, g.queueShed, g.busyTime = 0, false, 0
 	// A queue that is never empty during the next window is a standing queue.
 	g.standingQueue = g.queue.Len() > 0
 }
 
-// load returns the work of a window as a share of what the limit and the mean request time allow: the requests that arrived and
-// were admitted, and the waiting ones, which are to be served within drainTime.
-func (g *Gate) load(elapsed time.Duration) float64 {
-	perSecond := float64(g.level.admitted)/elapsed.Seconds() + float64(g.queue.Len())/drainTime.Seconds()
-	return perSecond * g.mean.Seconds() / float64(g.limit.current())
+// demand returns the work that arrived in a window and was admitted, with the part of the queue that is to be served in it, as a
+// share of what the upstream can serve: the larger of the number of requests that it served and the number that the limit and the
+// mean request time allow. The mean alone may be out of date when few requests are admitted.
+func (g *Gate) demand(elapsed time.Duration) float64 {
+	capacity := float64(g.served)
+	if g.mean > 0 {
+		capacity = max(capacity, float64(g.limit.current())*elapsed.Seconds()/g.mean.Seconds())
+	}
+	if capacity == 0 {
+		return 0
+	}
+	return (float64(g.level.admitted) + float64(g.queue.Len())*elapsed.Seconds()/drainTime.Seconds()) / capacity
+}
+
+// occupancy returns the mean number of requests in progress in a window as a share of the limit.
+func (g *Gate) occupancy(elapsed time.Duration) float64 {
+	return g.busyTime.Seconds() / (elapsed.Seconds() * float64(g.limit.current()))
+}
+
+// countBusyTime adds the time of the requests in progress since the last call. It must be called before their number changes.
+func (g *Gate) countBusyTime(now time.Time) {
+	g.busyTime += time.Duration(g.inflight) * max(0, now.Sub(g.countedAt))
+	g.countedAt = now
 }
 
 // pressure classifies the window by the length of the queue: a short queue keeps the upstream busy, a long one only adds
--- a/internal/admitter/level.go
+++ b/internal/admitter/level.go
@@ -22,12 +22,17 @@
 	growthGain = 0.5
 	minGrowth  = 1.05
 	maxGrowth  = 1.5
+	// idleLoad is the load below which a level is lowered by whole classes.
+	idleLoad = 0.5
 	// minLoad is the lowest load that counts.
 	minLoad = 0.1
+	// minKeep is the smallest share of the admitted requests that a higher level leaves: the mean request time of an upstream that waits
+	// for others says little about the time that requests will take.
+	minKeep = 0.5
 	// maxWidening is the largest growth of the admitted part of a class in one window.
 	maxWidening = 3.0
 	// minWidth is the minimum number of ranks of its class that a level admits.
-	minWidth = classSize / 64
+	minWidth = classSize / 16
 	// classLifetime is how long a class counts as in use after its last request.
 	classLifetime = time.Minute
 	// shedFloorTime is how long lower classes are shed after a request of a higher class was shed.
@@ -110,14 +115,16 @@
 	overloaded
 )
 
-// update adjusts the level at the end of a window in which the admitted requests and the queue amounted to the given load, as a
+// update adjusts the level at the end of a window. Demand is what the level admitted, and occupancy what was in progress, both as a
 // share of what the upstream can serve.
-func (l *level) update(load float64, p pressure, now time.Time) {
+func (l *level) update(demand, occupancy float64, p pressure, now time.Time) {
 	switch {
-	case p != relaxed && load > targetLoad:
-		l.raise(targetLoad / load)
-	case p == relaxed && load < targetLoad && l.value > 0:
-		l.lower(max(minGrowth, min(maxGrowth, math.Pow(targetLoad/max(minLoad, load), growthGain))), now)
+	case p != relaxed && demand > targetLoad:
+		l.raise(max(minKeep, targetLoad/demand))
+	case p == relaxed && occupancy < idleLoad && l.value > 0:
+		l.lowerByClass(now)
+	case p == relaxed && occupancy < targetLoad && l.value > 0:
+		l.lower(max(minGrowth, min(maxGrowth, math.Pow(targetLoad/max(minLoad, occupancy), growthGain))), now)
 	}
 	l.arrived, l.admitted, l.unranked = 0, 0, 0
 }
@@ -175,6 +182,17 @@
 	l.value = lowestRank(below+1) - minWidth
 }
 
+// lowerByClass admits all of the level's class, and all of the next lower one in use. An upstream that is half idle has room for
+// more than the admitted requests can tell.
+func (l *level) lowerByClass(now time.Time) {
+	class := l.value.class()
+	if below := l.classBelow(class, now); below >= 0 {
+		l.value = lowestRank(below)
+		return
+	}
+	l.value = 0
+}
+
 // classBelow returns the next lower class in use, or -1 if there is none.
 func (l *level) classBelow(class int, now time.Time) int {
 	for c := class - 1; c >= 0; c-- {
