Raise an admission level only while requests stay queued

Cause: the new levels rose when a window ended with a short queue, which happens by chance at services of 28 slots. Change: they rise only when requests were shed from the queue, or it stayed long for a whole window, as they did before.

--- a/internal/admitter/call_chain_test.go
+++ b/internal/admitter/call_chain_test.go
@@ -301,6 +301,20 @@
 	})
 }
 
+// TestRandomBurstsRaiseLevel guards against requests that are refused with room, because a short queue made by chance raised a level.
+func TestRandomBurstsRaiseLevel(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const load, want = 1.35, 0.99
+		c := newChain(load)
+		c.run(t, 20*time.Second)
+		for _, k := range c.kinds {
+			if k.share(k.good) < want {
+				t.Errorf("%s: %.3f good at a load of %v of 1.6, want %v", k.name, k.share(k.good), load, want)
+			}
+		}
+	})
+}
+
 // TestLevelsReachEntries shows what the levels of services further down, and the ranks of the roots of calls, are worth to
 // callers: without both the important kinds get less.
 func TestLevelsReachEntries(t *testing.T) {
--- a/internal/admitter/level.go
+++ b/internal/admitter/level.go
@@ -119,7 +119,7 @@
 // share of what the upstream can serve.
 func (l *level) update(demand, occupancy float64, p pressure, now time.Time) {
 	switch {
-	case p != relaxed && demand > targetLoad:
+	case p == overloaded && demand > targetLoad:
 		l.raise(max(minKeep, targetLoad/demand))
 	case p == relaxed && occupancy < idleLoad && l.value > 0:
 		l.lowerByClass(now)
