Lower an admission level in spite of a queue that is there by chance

A gate of 28 slots has a short queue at the end of many windows also at 0.8 of its limit, and kept its level then.

--- a/internal/admitter/level.go
+++ b/internal/admitter/level.go
@@ -22,6 +22,8 @@
 	growthGain = 0.5
 	minGrowth  = 1.05
 	maxGrowth  = 1.5
+	// busyLoad is the load below which a short queue does not keep a level from being lowered.
+	busyLoad = 0.85
 	// idleLoad is the load below which a level is lowered by whole classes.
 	idleLoad = 0.5
 	// minLoad is the lowest load that counts.
@@ -118,6 +120,10 @@
 // update adjusts the level at the end of a window. Demand is what the level admitted, and occupancy what was in progress, both as a
 // share of what the upstream can serve.
 func (l *level) update(demand, occupancy float64, p pressure, now time.Time) {
+	if p == saturated && occupancy < busyLoad {
+		// The queue is there by chance.
+		p = relaxed
+	}
 	switch {
 	case p == overloaded && demand > targetLoad:
 		l.raise(max(minKeep, targetLoad/demand))
