--- a/internal/admitter/call_chain_test.go
+++ b/internal/admitter/call_chain_test.go
@@ -50,7 +50,9 @@
 
 // chainWorker is a worker with the gate and the levels of its node.
 type chainWorker struct {
-	name    string
+	name string
+	// speed is the worker's speed relative to the mean.
+	speed   float64
 	gate    *admitter.Gate
 	nested  router.Levels
 	running []admitter.Rank
@@ -84,7 +86,7 @@
 	for service, slots := range map[string]int{"history": 198, "records": 248, "custody": 248, "scanner": 31} {
 		for i := range 4 {
 			c.services[service] = append(c.services[service], &chainWorker{
-				name: fmt.Sprint(service, i),
+				name: fmt.Sprint(service, i), speed: 1,
 				gate: admitter.New(slots, timer.New(), nil, admitter.WithStaticLimit(), admitter.WithUsableShare(0.95)),
 			})
 		}
@@ -142,7 +144,7 @@
 	}
 	start := time.Now()
 	c.setRunning(w, root, 1)
-	time.Sleep(c.work(chainRoutes[route].work))
+	time.Sleep(time.Duration(float64(c.work(chainRoutes[route].work)) / w.speed))
 	ok = true
 	for _, nested := range chainRoutes[route].calls {
 		if ok = c.nested(w, nested, deadline); !ok {
--- a/internal/router/levels.go
+++ b/internal/router/levels.go
@@ -34,6 +34,8 @@
 type routeLevels struct {
 	mu       sync.Mutex
 	byWorker map[string]workerLevel
+	// candidates is reused between draws.
+	candidates []workerLevel
 }
 
 type workerLevel struct {
@@ -56,9 +58,8 @@
 	levels.byWorker[worker] = workerLevel{value: value, at: now}
 }
 
-// Of returns the rank below which a call would most likely be shed: the level of a random worker among those whose levels have
-// not expired. Over many calls, as large a share of them is shed as the workers would shed. A mean of levels would not do that,
-// since ranks of different classes are not evenly spread. The level falls while no responses arrive, so that a few calls probe
+// Of returns the rank below which a call would most likely be shed: the lower level of two random workers among those with recent
+// responses. A mean of levels would say little, since ranks of different classes are not evenly spread. The level falls while no responses arrive, so that a few calls probe
 // whether the overload has passed.
 func (l *Levels) Of(service, route string, now time.Time) uint32 {
 	entry, ok := l.byRoute.Load(routeKey{service, route})
@@ -68,7 +69,7 @@
 	return entry.(*routeLevels).draw(now)
 }
 
-// Highest returns the highest level of all services and routes, each of a random worker.
+// Highest returns the highest level of all services and routes, each the lower one of two random workers.
 func (l *Levels) Highest(now time.Time) uint32 {
 	highest := uint32(0)
 	l.byRoute.Range(func(_, entry any) bool {
@@ -78,36 +79,32 @@
 	return highest
 }
 
-// draw returns the present level of a random worker, or zero if there is none.
+// draw returns the lower level of two random workers, or zero if there is none: a worker that lacks room does not matter while calls
+// can go to others.
 func (l *routeLevels) draw(now time.Time) uint32 {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	recent := 0
+	l.candidates = l.candidates[:0]
+	recent := false
 	for worker, w := range l.byWorker {
-		switch age := now.Sub(w.at); {
+		age := now.Sub(w.at)
+		switch {
 		case age > levelLifetime:
 			delete(l.byWorker, worker)
-		case age <= levelHoldTime:
-			recent++
+			continue
+		case age <= levelHoldTime && !recent:
+			recent = true
+			l.candidates = l.candidates[:0]
+		case age > levelHoldTime && recent:
+			continue
 		}
+		l.candidates = append(l.candidates, w)
 	}
-	if len(l.byWorker) == 0 {
+	if len(l.candidates) == 0 {
 		return 0
 	}
-	skip := rand.IntN(max(recent, 1))
-	if recent == 0 {
-		skip = rand.IntN(len(l.byWorker))
-	}
-	for _, w := range l.byWorker {
-		if recent > 0 && now.Sub(w.at) > levelHoldTime {
-			continue
-		}
-		if skip == 0 {
-			return w.lowered(now)
-		}
-		skip--
-	}
-	return 0
+	first, second := l.candidates[rand.IntN(len(l.candidates))], l.candidates[rand.IntN(len(l.candidates))]
+	return min(first.lowered(now), second.lowered(now))
 }
 
 // lowered returns the level as lowered by the time without a response.
