--- a/internal/admitter/gate.go
+++ b/internal/admitter/gate.go
@@ -21,8 +21,6 @@
 	queueFactor = 2
 	// maxInProgressWait is the time that a call in progress may wait for a slot.
 	maxInProgressWait = 2 * time.Second
-	// drainTime is the time in which a queue is to be served beside the requests that arrive.
-	drainTime = 2 * time.Second
 	// refusalTime allows for the way of a refusal back to the caller before the request's deadline.
 	refusalTime = 25 * time.Millisecond
 	// latencyWeight is the weight of a new sample in the moving average of the request time.
@@ -69,9 +67,6 @@
 	mean        time.Duration
 	windowStart time.Time
 	served      int
-	// busyTime is the total time of the requests in progress in the current window, up to countedAt.
-	busyTime  time.Duration
-	countedAt time.Time
 	// queueShed reports whether a queued request was shed, or the queue was full, in the current window.
 	queueShed bool
 	// standingQueue reports whether the queue was not empty when the current window began, and has not been empty since.
@@ -122,7 +117,7 @@
 // New returns a gate for an upstream with the given number of slots.
 func New(slots int, t *timer.Service, assert *asserter.Asserter, opts ...Option) *Gate {
 	now := t.Now()
-	g := &Gate{timer: t, assert: assert, limit: newLimit(slots, now), windowStart: now, countedAt: now, slots: slots, usableShare: 1}
+	g := &Gate{timer: t, assert: assert, limit: newLimit(slots, now), windowStart: now, slots: slots, usableShare: 1}
 	for _, opt := range opts {
 		opt(g)
 	}
@@ -133,32 +128,12 @@
 type Request struct {
 	Rank     Rank
 	Deadline time.Time
-	// Root is the rank of the request at the root of the call chain, as far as it is known. It is set for calls in progress: the
-	// level that callers' requests must reach counts them as what they are.
-	Root Rank
 	// MaxWait is the time that the request may wait for a slot. Zero selects a limit derived from the mean request time.
 	MaxWait time.Duration
 	// Rerouted reports whether another gate refused the request before. Such a request is not counted as demand here.
 	Rerouted bool
 }
 
-// demandRank returns the rank as which a request counts when the level is computed.
-func (r Request) demandRank() Rank {
-	if r.Rank == InProgress && r.Root > 0 {
-		return r.Root
-	}
-	return r.Rank
-}
-
-// queueRank returns the rank by which a request is ordered in the queue. A call in progress precedes all requests of its root's
-// class, since work was already spent on it, but not those of higher classes. One without a known root precedes all requests.
-func (r Request) queueRank() Rank {
-	if r.Rank == InProgress && r.Root > 0 && r.Root != InProgress {
-		return lowestRank(r.Root.class()+1) - 1
-	}
-	return r.Rank
-}
-
 // Ticket represents the admission of one request.
 type Ticket struct {
 	gate *Gate
@@ -191,7 +166,7 @@
 		return Draining
 	}
 	if !req.Rerouted {
-		g.level.recordArrival(req, now)
+		g.level.recordArrival(req.Rank, now)
 	}
 	switch {
 	case g.unlimited:
@@ -288,14 +263,13 @@
 	g := t.gate
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	now := g.timer.Now()
-	g.countBusyTime(now)
 	g.inflight--
 	g.served++
 	if !s.Shed {
 		g.mean += time.Duration(float64(s.Total-g.mean) * latencyWeight)
 	}
 	g.limit.recordRequest(s.Self, s.Shed)
+	now := g.timer.Now()
 	g.endWindow(now)
 	g.dispatch(now)
 }
@@ -305,10 +279,8 @@
 	g := t.gate
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	now := g.timer.Now()
-	g.countBusyTime(now)
 	g.inflight--
-	g.dispatch(now)
+	g.dispatch(g.timer.Now())
 }
 
 // dispatch admits waiting requests while the limit allows it.
@@ -337,17 +309,16 @@
 	if g.fifo || g.queue.Len() == 0 {
 		return
 	}
-	top, rank := g.queue[0].req.queueRank(), w.req.queueRank()
+	top := g.queue[0].req.Rank
 	detail := ""
-	if top > rank {
-		detail = fmt.Sprintf("admitted %d while %d waits", rank, top)
+	if top > w.req.Rank {
+		detail = fmt.Sprintf("admitted %d while %d waits", w.req.Rank, top)
 	}
-	g.assert.Check(asserter.ImportantShedLast, top <= rank, detail)
+	g.assert.Check(asserter.ImportantShedLast, top <= w.req.Rank, detail)
 }
 
 // endWindow updates the level and the limit if the current window has elapsed.
 func (g *Gate) endWindow(now time.Time) {
-	g.countBusyTime(now)
 	if g.queue.Len() == 0 {
 		g.standingQueue = false
 	}
@@ -359,41 +330,25 @@
 	if elapsed < maxLevelWindow && g.served < minServed && g.queue.Len() > 0 {
 		return
 	}
-	g.level.update(g.demand(elapsed), g.occupancy(elapsed), g.pressure(), now)
+	g.level.update(g.capacity(elapsed), g.pressure(), now)
 	for range min(int(elapsed/levelWindow)-1, maxIdleWindows) {
 		if g.queue.Len() == 0 {
-			g.level.update(0, 0, relaxed, now)
+			g.level.update(0, relaxed, now)
 		}
 	}
 	g.windowStart = now
-	g.served, g.queueShed, g.busyTime = 0, false, 0
+	g.served, g.queueShed = 0, false
 	// A queue that is never empty during the next window is a standing queue.
 	g.standingQueue = g.queue.Len() > 0
 }
 
-// demand returns the work that arrived in a window and was admitted, with the part of the queue that is to be served in it, as a
-// share of what the upstream can serve: the larger of the number of requests that it served and the number that the limit and the
-// mean request time allow. The mean alone may be out of date when few requests are admitted.
-func (g *Gate) demand(elapsed time.Duration) float64 {
-	capacity := float64(g.served)
-	if g.mean > 0 {
-		capacity = max(capacity, float64(g.limit.current())*elapsed.Seconds()/g.mean.Seconds())
+// capacity estimates how many requests the upstream can serve in a time d. It is the larger of the number served and the
+// number that the limit and the mean request time allow.
+func (g *Gate) capacity(d time.Duration) float64 {
+	if g.mean <= 0 {
+		return float64(g.served)
 	}
-	if capacity == 0 {
-		return 0
-	}
-	return (float64(g.level.admitted) + float64(g.queue.Len())*elapsed.Seconds()/drainTime.Seconds()) / capacity
-}
-
-// occupancy returns the mean number of requests in progress in a window as a share of the limit.
-func (g *Gate) occupancy(elapsed time.Duration) float64 {
-	return g.busyTime.Seconds() / (elapsed.Seconds() * float64(g.limit.current()))
-}
-
-// countBusyTime adds the time of the requests in progress since the last call. It must be called before their number changes.
-func (g *Gate) countBusyTime(now time.Time) {
-	g.busyTime += time.Duration(g.inflight) * max(0, now.Sub(g.countedAt))
-	g.countedAt = now
+	return max(float64(g.served), float64(g.limit.current())*d.Seconds()/g.mean.Seconds())
 }
 
 // pressure classifies the window by the length of the queue: a short queue keeps the upstream busy, a long one only adds
@@ -427,7 +382,7 @@
 	now := g.timer.Now()
 	g.endWindow(now)
 	load := float64(g.inflight+g.queue.Len()) / float64(g.limit.current())
-	return Report{Level: g.level.value, Load: load, Mean: g.mean}
+	return Report{Level: g.level.current(now), Load: load, Mean: g.mean}
 }
 
 // HasRoom reports whether a slot is free and no request is waiting.
--- a/internal/admitter/level.go
+++ b/internal/admitter/level.go
@@ -1,40 +1,31 @@
 package admitter
 
 import (
-	"math"
 	"slices"
 	"time"
 )
 
 const (
-	// levelWindow is the shortest time between two updates of the admission level: about the time in which a new level reaches
-	// the entry nodes and the requests that it refuses are missing here. If fewer than minServed requests finished in that time
-	// and others are waiting, the window is extended, up to maxLevelWindow, so that the level does not follow random variation.
-	levelWindow    = 300 * time.Millisecond
-	maxLevelWindow = 600 * time.Millisecond
+	// levelWindow is the shortest time between two updates of the admission level. If fewer than minServed requests
+	// finished in that time and others are waiting, the window is extended, up to maxLevelWindow, so that the level does
+	// not follow random variation.
+	levelWindow    = 100 * time.Millisecond
+	maxLevelWindow = 400 * time.Millisecond
 	minServed      = 16
 	// sampleSize is the maximum number of ranks per window from which the level is computed.
 	sampleSize = 512
-	// targetLoad is the load at which the level keeps an upstream whose callers ask for more, as a share of its limit.
-	targetLoad = 0.95
-	// growthGain is the exponent of the growth of the admitted requests in one window: the effect of a lower level comes after two
-	// or three windows. minGrowth and maxGrowth bound the growth.
-	growthGain = 0.5
-	minGrowth  = 1.05
-	maxGrowth  = 1.5
-	// busyLoad is the load below which a short queue does not keep a level from being lowered.
-	busyLoad = 0.85
-	// idleLoad is the load below which a level is lowered by whole classes.
-	idleLoad = 0.5
-	// minLoad is the lowest load that counts.
-	minLoad = 0.1
-	// minKeep is the smallest share of the admitted requests that a higher level leaves: the mean request time of an upstream that waits
-	// for others says little about the time that requests will take.
-	minKeep = 0.5
-	// maxWidening is the largest growth of the admitted part of a class in one window.
-	maxWidening = 3.0
+	// headroom is the number of requests that a raised level admits, divided by the capacity. It is above one, so that the
+	// queue does not run empty.
+	headroom = 1.05
+	// initialStep is the first step by which a level is lowered, as a share of the ranks of its class that it admits.
+	// Steps double up to maxStep.
+	initialStep = 0.1
+	maxStep     = 8.0
+	// stepsBeforeDoubling is the number of steps before the step size starts to double. A lowered level takes that many
+	// windows to propagate to the entry nodes.
+	stepsBeforeDoubling = 5
 	// minWidth is the minimum number of ranks of its class that a level admits.
-	minWidth = classSize / 16
+	minWidth = classSize / 64
 	// classLifetime is how long a class counts as in use after its last request.
 	classLifetime = time.Minute
 	// shedFloorTime is how long lower classes are shed after a request of a higher class was shed.
@@ -42,19 +33,18 @@
 	classCount    = 1 << (priorityBits + 3)
 )
 
-// level is the admission level: the rank below which a gate sheds requests without queueing them. While callers ask for more
-// than the upstream can serve, it follows the load in both directions: each update changes the admitted requests in proportion to
-// what the upstream lacks or has left. The change takes effect only after some time, so that smaller steps would come too late
-// and larger ones would swing.
+// level is the admission level: the rank below which a gate sheds requests without queueing them. Under overload it
+// rises to the rank that would have admitted as many requests as the upstream can serve. Without pressure it falls in
+// steps of doubling size.
 type level struct {
-	value   Rank
-	arrived int
-	// admitted counts the requests of the current window that the level admits, and unranked the calls in progress among them
-	// whose root is unknown.
-	admitted int
-	unranked int
-	sample   [sampleSize]Rank
-	lastSeen [classCount]time.Time
+	value     Rank
+	step      float64
+	stepsDown int
+	arrived   int
+	// inProgress is the number of calls in progress that arrived in the current window.
+	inProgress int
+	sample     [sampleSize]Rank
+	lastSeen   [classCount]time.Time
 
 	shedAt   [classCount]time.Time
 	lastShed time.Time
@@ -89,20 +79,15 @@
 	return 0
 }
 
-// recordArrival counts a request that arrived in the current window. Calls in progress whose root the level refuses are still
-// served, but need no higher level: their roots were admitted before the level rose, and no more of them will come.
-func (l *level) recordArrival(req Request, now time.Time) {
-	rank := req.demandRank()
-	if rank >= l.value {
-		l.admitted++
-	}
-	if rank == InProgress {
-		l.unranked++
+// recordArrival counts a request that arrived in the current window.
+func (l *level) recordArrival(r Rank, now time.Time) {
+	if r == InProgress {
+		l.inProgress++
 		return
 	}
-	l.sample[l.arrived%sampleSize] = rank
+	l.sample[l.arrived%sampleSize] = r
 	l.arrived++
-	l.lastSeen[rank.class()%classCount] = now
+	l.lastSeen[r.class()%classCount] = now
 }
 
 // pressure classifies the state of a gate's queue in a window.
@@ -117,67 +102,43 @@
 	overloaded
 )
 
-// update adjusts the level at the end of a window. Demand is what the level admitted, and occupancy what was in progress, both as a
-// share of what the upstream can serve.
-func (l *level) update(demand, occupancy float64, p pressure, now time.Time) {
-	if p == saturated && occupancy < busyLoad {
-		// The queue is there by chance.
-		p = relaxed
-	}
+// update adjusts the level at the end of a window in which the upstream could serve capacity requests.
+func (l *level) update(capacity float64, p pressure, now time.Time) {
 	switch {
-	case p == overloaded && demand > targetLoad:
-		l.raise(max(minKeep, targetLoad/demand))
-	case p == relaxed && occupancy < idleLoad && l.value > 0:
-		l.lowerByClass(now)
-	case p == relaxed && occupancy < targetLoad && l.value > 0:
-		l.lower(max(minGrowth, min(maxGrowth, math.Pow(targetLoad/max(minLoad, occupancy), growthGain))), now)
+	case p == overloaded:
+		l.raise(capacity)
+	case p == relaxed && l.value > 0:
+		l.lower(now)
 	}
-	l.arrived, l.admitted, l.unranked = 0, 0, 0
+	l.arrived, l.inProgress = 0, 0
 }
 
-// admittedRanks returns the sampled ranks that the level admits, in ascending order, and the number of calls without a known root
-// for as many.
-func (l *level) admittedRanks() (ranks []Rank, unranked float64) {
-	for _, r := range l.sample[:min(l.arrived, sampleSize)] {
-		if r >= l.value {
-			ranks = append(ranks, r)
-		}
+func (l *level) raise(capacity float64) {
+	l.step, l.stepsDown = initialStep, 0
+	if l.arrived == 0 {
+		return
 	}
+	ranks := slices.Clone(l.sample[:min(l.arrived, sampleSize)])
 	slices.Sort(ranks)
-	return ranks, float64(l.unranked) * float64(min(l.arrived, sampleSize)) / float64(max(1, l.arrived))
-}
-
-// raise lets only the given share of the requests pass that the level admits so far.
-func (l *level) raise(keep float64) {
-	ranks, unranked := l.admittedRanks()
-	if len(ranks) == 0 {
+	admitShare := max(0, capacity*headroom-float64(l.inProgress)) / float64(l.arrived)
+	if admitShare >= 1 {
 		return
 	}
-	drop := (1 - keep) * (float64(len(ranks)) + unranked)
-	l.value = max(l.value, ranks[min(len(ranks)-1, int(drop))])
+	minRank := ranks[min(len(ranks)-1, int(float64(len(ranks))*(1-admitShare)))]
+	l.value = max(l.value, minRank)
 }
 
-// lower admits more ranks of the level's class, so that the admitted requests grow by a factor, or of the next lower class in use
-// once the whole class is admitted.
-func (l *level) lower(growth float64, now time.Time) {
+// lower admits more ranks of the level's class, or of the next lower class in use once the whole class is admitted.
+func (l *level) lower(now time.Time) {
 	class := l.value.class()
-	ranks, unranked := l.admittedRanks()
-	inClass := 0
-	for inClass < len(ranks) && ranks[inClass].class() == class {
-		inClass++
+	width := max(minWidth, lowestRank(class+1)-l.value)
+	width += Rank(float64(width) * l.step)
+	l.stepsDown++
+	if l.stepsDown > stepsBeforeDoubling {
+		l.step = min(l.step*2, maxStep)
 	}
-	widening := maxWidening
-	if inClass > 0 {
-		widening = min(maxWidening, 1+(growth-1)*(float64(len(ranks))+unranked)/float64(inClass))
-	}
-	width := float64(max(minWidth, lowestRank(class+1)-l.value))
-	if width >= classSize/2 {
-		// Only accounts over their rate have lower ranks of a class.
-		widening = maxWidening
-	}
-	width *= widening
 	if width < classSize {
-		l.value = lowestRank(class+1) - Rank(width)
+		l.value = lowestRank(class+1) - width
 		return
 	}
 	below := l.classBelow(class, now)
@@ -188,17 +149,6 @@
 	l.value = lowestRank(below+1) - minWidth
 }
 
-// lowerByClass admits all of the level's class, and all of the next lower one in use. An upstream that is half idle has room for
-// more than the admitted requests can tell.
-func (l *level) lowerByClass(now time.Time) {
-	class := l.value.class()
-	if below := l.classBelow(class, now); below >= 0 {
-		l.value = lowestRank(below)
-		return
-	}
-	l.value = 0
-}
-
 // classBelow returns the next lower class in use, or -1 if there is none.
 func (l *level) classBelow(class int, now time.Time) int {
 	for c := class - 1; c >= 0; c-- {
--- a/internal/admitter/queue.go
+++ b/internal/admitter/queue.go
@@ -21,12 +21,11 @@
 
 func (q queue) Less(i, j int) bool {
 	a, b := q[i], q[j]
-	rankA, rankB := a.req.queueRank(), b.req.queueRank()
-	if a.fifo || (rankA == rankB && a.req.Rank == InProgress && b.req.Rank == InProgress) {
+	if a.fifo || (a.req.Rank == InProgress && b.req.Rank == InProgress) {
 		return a.sequence < b.sequence
 	}
-	if rankA != rankB {
-		return rankA > rankB
+	if a.req.Rank != b.req.Rank {
+		return a.req.Rank > b.req.Rank
 	}
 	return a.sequence > b.sequence
 }
--- a/internal/forwarder/attempt.go
+++ b/internal/forwarder/attempt.go
@@ -10,7 +10,6 @@
 
 	"github.com/pkg/errors"
 
-	"github.com/lavenderhub/lavenderhub/internal/admitter"
 	"github.com/lavenderhub/lavenderhub/internal/asserter"
 	"github.com/lavenderhub/lavenderhub/internal/authenticator"
 	"github.com/lavenderhub/lavenderhub/internal/dialer"
@@ -80,9 +79,6 @@
 	now := f.Timer.Now()
 	c.triedNodes = append(c.triedNodes, t.Node)
 	f.admissionLevels.Record(c.route.Service, c.route.Name, t.Node, report.level, now)
-	if c.rank == admitter.InProgress {
-		f.nestedLevels.Record(c.route.Service, c.route.Name, t.Node, report.level, now)
-	}
 	if report.hasRetryShare {
 		f.reportedRetryShares.Record(c.route.Service, report.retryShare, now)
 	}
@@ -240,7 +236,6 @@
 		Instance:        t.Instance(),
 		PatienceMicros:  uint64(c.maxWait.Microseconds()),
 		Repeat:          c.retryProbability,
-		RootRank:        uint32(c.root),
 	}, id, secret)
 }
 
--- a/internal/forwarder/call.go
+++ b/internal/forwarder/call.go
@@ -27,13 +27,10 @@
 	account         string
 	keyID           string
 	rank            admitter.Rank
-	// root is the rank of the request at the root of the call chain. It differs from rank for calls of unknown requests in
-	// progress, for which it is that of one of these requests, or zero.
-	root        admitter.Rank
-	deadline    time.Time
-	retryBudget *retrier.Budget
-	idempotent  bool
-	depth       uint32
+	deadline        time.Time
+	retryBudget     *retrier.Budget
+	idempotent      bool
+	depth           uint32
 	// maxWait is how long the call may wait for a slot at the gate.
 	maxWait time.Duration
 	// triedNodes lists the nodes of the workers that the call was sent to.
--- a/internal/forwarder/dispatch.go
+++ b/internal/forwarder/dispatch.go
@@ -24,11 +24,8 @@
 // dispatch sends a call to a worker of its service and, while reroutes and retries are allowed, to further ones. Exactly
 // one of the results is set. The response may have a retryable status when no further attempt is allowed.
 func (f *Forwarder) dispatch(ctx context.Context, c *call) (*response, *refuser.Refusal) {
-	if c.depth > 0 {
-		// Root calls were checked before they took a token. A second draw of the levels would shed twice as many.
-		if ref := f.shedEarly(c); ref != nil {
-			return nil, ref
-		}
+	if ref := f.shedEarly(c); ref != nil {
+		return nil, ref
 	}
 	var state dispatchState
 	t := f.pickWorker(c, nil)
--- a/internal/forwarder/forwarder.go
+++ b/internal/forwarder/forwarder.go
@@ -83,11 +83,8 @@
 // Forwarder serves callers, upstreams and other nodes. It is safe for concurrent use.
 type Forwarder struct {
 	Parts
-	bodyLimit int64
-	// admissionLevels come with the responses to all calls, nestedLevels with those to calls that the local upstream makes for
-	// unknown requests. The latter hold for all its requests.
+	bodyLimit         int64
 	admissionLevels   router.Levels
-	nestedLevels      router.Levels
 	retryRatios       retrier.Ratios
 	throttles         retrier.Throttles
 	clientRetries     *retrier.ClientRetries
--- a/internal/forwarder/nested.go
+++ b/internal/forwarder/nested.go
@@ -60,7 +60,6 @@
 		account:           parent.account,
 		keyID:             parent.keyID,
 		rank:              parent.rank,
-		root:              parent.root,
 		deadline:          parent.deadline,
 		retryBudget:       parent.retryBudget,
 		idempotent:        isIdempotent(req.Method, route),
--- a/internal/forwarder/peer.go
+++ b/internal/forwarder/peer.go
@@ -94,7 +94,6 @@
 		account:          token.GetAccount(),
 		keyID:            token.GetKeyId(),
 		rank:             admitter.Rank(token.GetRank()),
-		root:             admitter.Rank(token.GetRootRank()),
 		deadline:         f.Timer.Now().Add(time.Duration(token.GetRemainingMicros()) * time.Microsecond),
 		retryBudget:      retrier.NewBudget(token.GetRetries()),
 		idempotent:       token.GetIdempotent(),
--- a/internal/forwarder/root.go
+++ b/internal/forwarder/root.go
@@ -194,10 +194,6 @@
 		c.account = caller.policy.Account
 	}
 	c.rank = f.rank(req, c, caller)
-	c.root = c.rank
-	if c.rank == admitter.InProgress {
-		c.root = f.runningRequests.sampleRoot()
-	}
 	return c, nil
 }
 
--- a/internal/forwarder/running.go
+++ b/internal/forwarder/running.go
@@ -2,11 +2,9 @@
 
 import (
 	"context"
-	"math/rand/v2"
 	"sync"
 	"time"
 
-	"github.com/lavenderhub/lavenderhub/internal/admitter"
 	"github.com/lavenderhub/lavenderhub/internal/authenticator"
 )
 
@@ -14,8 +12,6 @@
 type runningRequest struct {
 	call *call
 	ctx  context.Context
-	// index is the position in the table's list.
-	index int
 
 	mu           sync.Mutex
 	activeNested int
@@ -68,48 +64,19 @@
 	return s
 }
 
-// runningTable holds the running requests, by the handles that the local upstream presents.
+// runningTable maps the handles that the local upstream presents to running requests.
 type runningTable struct {
 	byHandle sync.Map // string to *runningRequest
-
-	mu   sync.Mutex
-	list []*runningRequest
 }
 
 func (t *runningTable) add(r *runningRequest) (handle string) {
 	handle = authenticator.NewHandle()
 	t.byHandle.Store(handle, r)
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	r.index = len(t.list)
-	t.list = append(t.list, r)
 	return handle
 }
 
 func (t *runningTable) remove(handle string) {
-	value, ok := t.byHandle.LoadAndDelete(handle)
-	if !ok {
-		return
-	}
-	r := value.(*runningRequest)
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	last := len(t.list) - 1
-	t.list[r.index] = t.list[last]
-	t.list[r.index].index = r.index
-	t.list[last] = nil
-	t.list = t.list[:last]
-}
-
-// sampleRoot returns the root rank of a random running request, or zero if there is none. Calls of unknown requests thus come
-// from the classes of requests in the proportions in which these are running.
-func (t *runningTable) sampleRoot() admitter.Rank {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	if len(t.list) == 0 {
-		return 0
-	}
-	return t.list[rand.IntN(len(t.list))].call.root
+	t.byHandle.Delete(handle)
 }
 
 func (t *runningTable) find(handle string) (*runningRequest, bool) {
--- a/internal/forwarder/upstream.go
+++ b/internal/forwarder/upstream.go
@@ -19,7 +19,7 @@
 // runUpstream passes a call through the gate to the local upstream.
 func (f *Forwarder) runUpstream(ctx context.Context, c *call, up *announcer.Upstream) (*response, *refuser.Refusal, hopReport) {
 	ticket, decision := up.Gate.Admit(ctx, admitter.Request{
-		Rank: c.rank, Root: c.root, Deadline: c.deadline, Rerouted: c.rerouted, MaxWait: c.maxWait,
+		Rank: c.rank, Deadline: c.deadline, Rerouted: c.rerouted, MaxWait: c.maxWait,
 	})
 	if decision != admitter.Admitted {
 		f.logGateRefusal(c, up, decision)
@@ -93,8 +93,7 @@
 func (f *Forwarder) newReport(up *announcer.Upstream, c *call, nested nestedSummary) hopReport {
 	gate, now := up.Gate.Report(), f.Timer.Now()
 	return hopReport{
-		level: max(uint32(gate.Level), nested.level, f.nestedLevels.Highest(now)), load: gate.Load,
-		spentRetries: c.retryBudget.Spent(), hasSpentRetries: true,
+		level: max(uint32(gate.Level), nested.level), load: gate.Load, spentRetries: c.retryBudget.Spent(), hasSpentRetries: true,
 		retryShare: max(f.retryMeterOf(up.Service).Share(now), f.nestedRetryShares.Highest(now)), hasRetryShare: true,
 	}
 }
