Forget the records of responses that were held back

A kept connection kept a record of each response that was held back and then written by its own handler. Found by reading; TestHeldResponsesStayInMemory failed before (100 records).

--- a/internal/pipeliner/pipe.go
+++ b/internal/pipeliner/pipe.go
@@ -175,6 +175,7 @@
 func (p *pipe) advance(closes bool) {
 	for {
 		delete(p.branches, p.turn)
+		delete(p.held, p.turn)
 		p.turn++
 		if closes || (p.closeAtEnd && p.turn == p.next) {
 			p.close()
@@ -204,7 +205,6 @@
 			break
 		}
 		closes = h.closes
-		delete(p.held, p.turn)
 	}
 	p.changed.Broadcast()
 }
--- a/internal/pipeliner/pipeliner_test.go
+++ b/internal/pipeliner/pipeliner_test.go
@@ -291,6 +291,29 @@
 	}
 }
 
+// TestHeldResponsesStayInMemory guards against a connection that keeps a record of each response that was held back on it.
+func TestHeldResponsesStayInMemory(t *testing.T) {
+	near, far := net.Pipe()
+	defer func() { _ = near.Close() }()
+	var group sync.WaitGroup
+	group.Go(func() { _, _ = io.Copy(io.Discard, far) })
+	var total atomic.Int64
+	p := newPipe(near, &total)
+	for range 100 {
+		first, _ := p.begin()
+		second, _ := p.begin()
+		_, _ = p.write(second, []byte("held"))
+		p.finish(first, false)
+		_, _ = p.write(second, []byte("written"))
+		p.finish(second, false)
+	}
+	if len(p.held) != 0 || p.heldSize != 0 || total.Load() != 0 {
+		t.Errorf("%d records and %d bytes are held after all responses were written", len(p.held), p.heldSize)
+	}
+	p.closeNow()
+	group.Wait()
+}
+
 // TestRandomPipelines guards against a response that reaches another request, with random requests that arrive in random pieces.
 func TestRandomPipelines(t *testing.T) {
 	s := startServer(t)
