Close callers' connections after their response when many are open

Cause: a caller that is refused tries again on a new connection, and its old one stays open and idle, about 13 to 20 KB each. Change: from 512 open connections on a node closes each after its response, unless pipelined requests are in progress behind. Measured: TestIdleConnectionsUseUpMemory: 1,024 stay open without it.

--- a/internal/forwarder/adapter.go
+++ b/internal/forwarder/adapter.go
@@ -22,6 +22,9 @@
 		return
 	}
 	result := f.Serve(r.Context(), req)
+	if r.ProtoMajor == 1 && pipeliner.IsCrowded(r.Context()) && pipeliner.EndConnection(r.Context()) {
+		w.Header().Set("Connection", "close")
+	}
 	if result.Refusal != nil {
 		result.Refusal.Write(w)
 		return
--- a/internal/pipeliner/pipeliner.go
+++ b/internal/pipeliner/pipeliner.go
@@ -18,8 +18,13 @@
 	"github.com/lavenderhub/lavenderhub/internal/timer"
 )
 
-// maxBranches bounds the requests of all connections that are served ahead of their turn.
-const maxBranches = 1024
+const (
+	// maxBranches bounds the requests of all connections that are served ahead of their turn.
+	maxBranches = 1024
+	// crowdedAt is the number of callers' connections from which on each closes after its response. Callers that try again after
+	// refusals open one for each try; an idle one costs about 20 KB and a file descriptor.
+	crowdedAt = 512
+)
 
 // Listener accepts callers' connections and the branches of pipelined requests. ConnState and ConnContext must be set at the server
 // that uses it.
@@ -31,6 +36,8 @@
 	closeOnce sync.Once
 	stopped   atomic.Bool
 	branches  atomic.Int64
+	// open is the number of callers' connections.
+	open      atomic.Int64
 	totalHeld atomic.Int64
 
 	errMu sync.Mutex
@@ -134,8 +141,13 @@
 func (l *Listener) ConnState(c net.Conn, state http.ConnState) {
 	switch c := c.(type) {
 	case *conn:
-		if state == http.StateIdle {
+		switch state {
+		case http.StateNew:
+			l.open.Add(1)
+		case http.StateIdle:
 			c.completeRequest()
+		case http.StateClosed, http.StateHijacked:
+			l.open.Add(-1)
 		}
 	case *branch:
 		switch state {
@@ -153,17 +165,18 @@
 
 // turn is the place of a request among those of its connection.
 type turn struct {
-	pipe  *pipe
-	order func() uint64
+	listener *Listener
+	pipe     *pipe
+	order    func() uint64
 }
 
 // ConnContext is to be called by the server for the context of a connection.
 func (l *Listener) ConnContext(ctx context.Context, c net.Conn) context.Context {
 	switch c := c.(type) {
 	case *conn:
-		return context.WithValue(ctx, turnKey{}, turn{c.pipe, c.order.Load})
+		return context.WithValue(ctx, turnKey{}, turn{l, c.pipe, c.order.Load})
 	case *branch:
-		return context.WithValue(ctx, turnKey{}, turn{c.pipe, func() uint64 { return c.order }})
+		return context.WithValue(ctx, turnKey{}, turn{l, c.pipe, func() uint64 { return c.order }})
 	}
 	return ctx
 }
@@ -188,6 +201,12 @@
 	return t.pipe.awaitTurn(ctx, order)
 }
 
+// IsCrowded reports whether so many callers' connections are open that each should close after its response.
+func IsCrowded(ctx context.Context) bool {
+	t, ok := ctx.Value(turnKey{}).(turn)
+	return ok && t.listener.open.Load() > crowdedAt
+}
+
 // EndConnection reports whether the connection of a request may close after its response, and lets no further request start on it
 // then. It may not while requests behind it are in progress: they would be cut.
 func EndConnection(ctx context.Context) bool {
--- a/internal/pipeliner/pipeliner_test.go
+++ b/internal/pipeliner/pipeliner_test.go
@@ -71,7 +71,7 @@
 		s.canceled.Add(1)
 		return
 	}
-	if q.Has("close") && EndConnection(r.Context()) {
+	if (q.Has("close") || IsCrowded(r.Context())) && EndConnection(r.Context()) {
 		w.Header().Set("Connection", "close")
 	}
 	if q.Has("abort") {
@@ -314,6 +314,23 @@
 	group.Wait()
 }
 
+// TestIdleConnectionsUseUpMemory guards against a server whose memory and descriptors are used up by the idle connections of callers
+// that open one for each try.
+func TestIdleConnectionsUseUpMemory(t *testing.T) {
+	s := startServer(t)
+	for i := range 2 * crowdedAt {
+		c := s.dial()
+		_, _ = io.WriteString(c, read(fmt.Sprint("id=", i)))
+		s.exchange(c, fmt.Sprint("200 ", i))
+	}
+	for end := time.Now().Add(2 * time.Second); s.listener.open.Load() > crowdedAt && time.Now().Before(end); {
+		time.Sleep(time.Millisecond)
+	}
+	if n := s.listener.open.Load(); n > crowdedAt {
+		t.Errorf("%d connections are open, want at most %d", n, crowdedAt)
+	}
+}
+
 // TestRandomPipelines guards against a response that reaches another request, with random requests that arrive in random pieces.
 func TestRandomPipelines(t *testing.T) {
 	s := startServer(t)
