Refuse most of a flood without asking the account's aggregator

Change: while an account asks for a multiple of its rate and a request of its importance or a higher one was refused in the last half second, only twice as many requests ask as there are tokens.

--- a/internal/aggregator/aggregator.go
+++ b/internal/aggregator/aggregator.go
@@ -9,6 +9,7 @@
 import (
 	"context"
 	"math"
+	"math/rand/v2"
 	"net/http"
 	"net/netip"
 	"sync"
@@ -44,6 +45,12 @@
 	// sampleSize and sampleAlpha define the sample of waiting times: about the last five minutes.
 	sampleSize  = 1028
 	sampleAlpha = 0.015
+	// floodFactor is the ratio of the requests that ask for a token to the tokens, and floodMemory the time for which a refusal
+	// keeps others from asking.
+	floodFactor = 2.0
+	floodMemory = 500 * time.Millisecond
+	// importanceLevels is the number of distinct importance values.
+	importanceLevels = 8
 	// reportLifetime is how long a reported demand is used.
 	reportLifetime = 3 * time.Second
 )
@@ -116,6 +123,20 @@
 	fleetDemand     float64
 	restrictedUntil time.Time
 	reportedAt      time.Time
+	// refusedAt is when the account was last over its rate, by the importance of the request.
+	refusedAt [importanceLevels]time.Time
+}
+
+// isFlooded reports whether a request would most likely be refused, and chooses at random: of the requests of an account that asks
+// for a multiple of its rate, as many ask for a token as twice the tokens that there are. Others would cost two nodes a call each.
+func (r *remoteAccount) isFlooded(req Request, random float64, now time.Time) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	refused := false
+	for i := min(int(req.Importance), importanceLevels-1); i < importanceLevels; i++ {
+		refused = refused || now.Sub(r.refusedAt[i]) < floodMemory
+	}
+	return refused && now.Sub(r.reportedAt) < floodMemory && random*r.fleetDemand > floodFactor*req.Policy.Rate
 }
 
 // Request is a request for one token.
@@ -139,6 +160,9 @@
 		if left <= 0 {
 			return limiter.OwnerUnresponsive
 		}
+		if a.account(req.Policy.Account).isFlooded(req, rand.Float64(), a.Timer.Now()) {
+			return limiter.OverRate
+		}
 		// The rest is for another node, in case this one does not respond.
 		if decision, ok := a.takeRemote(ctx, addr, req, left/2); ok {
 			return decision
@@ -169,7 +193,7 @@
 		return 0, false
 	}
 	a.meter.wait.Update(now.Sub(start).Microseconds())
-	a.account(req.Policy.Account).record(reply, now)
+	a.account(req.Policy.Account).record(req, reply, now)
 	switch reply.GetOutcome() {
 	case schema.TakeOutcome_TAKE_OUTCOME_ADMITTED:
 		a.recordReply(addr, now.Sub(start)-req.MaxWait, now)
@@ -202,9 +226,12 @@
 	return r.(*remoteAccount)
 }
 
-func (r *remoteAccount) record(reply *schema.TakeReply, now time.Time) {
+func (r *remoteAccount) record(req Request, reply *schema.TakeReply, now time.Time) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	if reply.GetOutcome() == schema.TakeOutcome_TAKE_OUTCOME_OVER_RATE {
+		r.refusedAt[min(req.Importance, importanceLevels-1)] = now
+	}
 	r.fleetDemand, r.reportedAt = reply.GetFleetDemand(), now
 	r.restrictedUntil = now.Add(time.Duration(reply.GetRestrictedMicros()) * time.Microsecond)
 }
--- a/internal/aggregator/aggregator_test.go
+++ b/internal/aggregator/aggregator_test.go
@@ -280,6 +280,30 @@
 	}
 }
 
+// TestFloodAsksForEachRequest guards against a flood of an account over its rate whose every request costs two nodes a call. All tokens
+// must still be used.
+func TestFloodAsksForEachRequest(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const nodes, rate, load, seconds = 64, 20.0, 80.0, 4
+		f := newFleet(nodes, rate, 1, seconds*time.Second)
+		count := f.run(t, load, everyNode)
+		served, admitted := int64(0), int64(0)
+		for _, n := range f.nodes {
+			served += n.meter.served.Count()
+		}
+		for i := range count.admitted {
+			admitted += count.admitted[i].Load()
+		}
+		sent := rate * load * seconds
+		if float64(served) > sent/5 {
+			t.Errorf("%d of %.0f requests asked another node for a token", served, sent)
+		}
+		if want := 0.95 * rate * seconds; float64(admitted) < want {
+			t.Errorf("%d admitted, want %.0f", admitted, want)
+		}
+	})
+}
+
 // TestAccountsWithLargeRateDrawLocally guards against a detour for accounts of which each node uses its tokens in time.
 func TestAccountsWithLargeRateDrawLocally(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
