--- a/review/standin/operator.go
+++ b/review/standin/operator.go
@@ -12,6 +12,12 @@
 // operatorTimeout is the time after which the operator moves on to another node.
 const operatorTimeout = time.Second
 
+// The pause after a failed attempt grows by backoffStep with each one, up to maxBackoff.
+const (
+	backoffStep = 20 * time.Millisecond
+	maxBackoff  = time.Second
+)
+
 // operator is the platform's operator: it picks among the control hosts and follows a redirect twice.
 type operator struct {
 	fleet  *fleet
@@ -71,7 +77,7 @@
 		if n <= 8 {
 			o.fleet.rec.add("operator: %s sent to %s, status %d from %s", label, host, a.status, a.host)
 		}
-		time.Sleep(100 * time.Millisecond)
+		time.Sleep(min(maxBackoff, time.Duration(n)*backoffStep))
 	}
 	o.fleet.rec.add("operator: %s has no acknowledgement after %v", label, limit)
 	return answer{}, false
