--- a/review/standin/operator.go
+++ b/review/standin/operator.go
@@ -14,7 +14,7 @@
 
 // The pause after a failed attempt grows by backoffStep with each one, up to maxBackoff.
 const (
-	backoffStep = 20 * time.Millisecond
+	backoffStep = 10 * time.Millisecond
 	maxBackoff  = time.Second
 )
 
