Replace the earlier replica of a host that lost its disk without waiting for its silence

Cause: a host that lost its disk returns under a new ID, and its old ID stays a voter until the leader has not heard from it for 3 s. Each leader starts this time anew, so that a leader killed within it left the dead voter in the set beyond the 4 s after which the first loss counts as repaired. The wait has no reason here: when a replica of the same host responds under another ID, the earlier one never does again.

Ruled out by the states that the failing schedule prints: slow catching up (the new replica of the first host had the whole log, 288 entries as the survivor), and a log that the survivor lacks (it had all 276 committed entries; it lacked votes only).

Change: a replica that is silent for contactTimeout (0.8 s) while another replica of its host responds is removed, whether or not the other one has caught up yet: the quorum that is needed does not grow by it. The decision moves from package controller into the replicator, next to the state that it reads, and the randomized schedules now make the changes that a leading control host makes.

Evidence: TestLeaderChangeBetweenTwoLostDisksEndsControl kills the leader at 0.6 s to 3.8 s after the first loss, with 3, 4 and 5 hosts, in simulated time.

--- a/internal/controller/leadership.go
+++ b/internal/controller/leadership.go
@@ -166,18 +166,7 @@
 
 // reconcileReplicas starts the next change of the replicas, if one is due.
 func (c *Controller) reconcileReplicas(now time.Time) {
-	caughtUp := map[uint64]bool{}
-	for _, r := range c.core.PromotableLearners(now) {
-		caughtUp[r.GetId()] = true
-	}
-	var members []member
-	for _, r := range c.core.Status().Replicas {
-		members = append(members, member{
-			id: r.GetId(), name: r.GetName(), learner: r.GetLearner(), caughtUp: caughtUp[r.GetId()],
-			sinceContact: c.core.SinceContact(r.GetId(), now),
-		})
-	}
-	change := nextReplicaChange(members, c.wantedVoters())
+	change := c.core.NextChange(c.wantedVoters(), now)
 	if change == nil {
 		return
 	}
--- a/internal/replicator/append.go
+++ b/internal/replicator/append.go
@@ -184,7 +184,7 @@
 	if c.role != Leader || p == nil {
 		return
 	}
-	p.lastContact = now
+	p.replied, p.lastContact = true, now
 	p.round = max(p.round, m.GetRound())
 	c.confirmRound()
 	if m.GetReject() {
--- a/internal/replicator/core.go
+++ b/internal/replicator/core.go
@@ -34,6 +34,9 @@
 	// trailingEntries is the number of entries kept before a snapshot's index, so that a replica that lags slightly
 	// needs no snapshot.
 	trailingEntries = 2000
+	// contactTimeout is the time without a reply after which a replica is unresponsive. It covers five heartbeats to a voter and
+	// two to a learner.
+	contactTimeout = learnerInterval + ElectionTimeout
 	// maxLearnerLag is the maximum number of entries that a learner may lack when it is promoted.
 	maxLearnerLag = 64
 	// maxTrackedRounds bounds the rounds whose start times a leader keeps.
@@ -116,6 +119,7 @@
 	match          uint64 // last index known to be replicated
 	next           uint64 // next index to send
 	round          uint64 // newest round that the replica has acknowledged
+	replied        bool   // whether the replica has replied in this term
 	lastContact    time.Time
 	sentAt         time.Time
 	snapshotSentAt time.Time
--- a/internal/controller/membership_test.go
+++ b/internal/replicator/membership_test.go
@@ -1,4 +1,4 @@
-package controller
+package replicator
 
 import (
 	"testing"
@@ -10,9 +10,11 @@
 func TestNextReplicaChange(t *testing.T) {
 	const promote, remove = schema.ChangeReplica_KIND_PROMOTE, schema.ChangeReplica_KIND_REMOVE
 	voter := func(id uint64, name string, sinceContact time.Duration) member {
-		return member{id: id, name: name, sinceContact: sinceContact}
+		return member{id: id, name: name, sinceContact: sinceContact, responsive: sinceContact < contactTimeout}
+	}
+	standby := func(id uint64, name string) member {
+		return member{id: id, name: name, learner: true, caughtUp: true, responsive: true}
 	}
-	standby := func(id uint64, name string) member { return member{id: id, name: name, learner: true, caughtUp: true} }
 	late := replaceReplicaAfter + time.Millisecond
 	tests := []struct {
 		name         string
--- a/internal/replicator/random_test.go
+++ b/internal/replicator/random_test.go
@@ -40,7 +40,7 @@
 // cluster simulates hosts under message loss, delay and duplication, network partitions, crashes, disk loss and clocks
 // that run at different rates.
 type cluster struct {
-	t            *rapid.T
+	t            rapid.TB
 	random       *rand.Rand
 	now          time.Duration
 	hosts        []*simulatedHost
@@ -55,9 +55,10 @@
 	proposed     int
 	lastWiped    uint64
 	keepDisks    bool
+	wantedVoters int // zero means all
 }
 
-func newCluster(t *rapid.T, seed uint64, n int) *cluster {
+func newCluster(t rapid.TB, seed uint64, n int) *cluster {
 	c := &cluster{
 		t: t, random: rand.New(rand.NewPCG(seed, 1)), partitioned: map[string]bool{}, nextID: 1,
 		committed: map[uint64]*schema.LogEntry{}, leaders: map[uint64]uint64{},
@@ -297,7 +298,7 @@
 }
 
 // maintainReplicas changes the replica set as a leading control host does: it adds hosts with an empty disk as
-// learners, and promotes learners after it has removed their hosts' earlier replicas.
+// learners, and makes the next change that is due.
 func (c *cluster) maintainReplicas() {
 	l := c.leader()
 	if l == nil {
@@ -311,13 +312,7 @@
 			}, now)
 		}
 	}
-	for _, learner := range l.core.PromotableLearners(now) {
-		change := &schema.ChangeReplica{Kind: schema.ChangeReplica_KIND_PROMOTE, Id: learner.GetId()}
-		for _, r := range l.core.Status().Replicas {
-			if r.GetName() == learner.GetName() && r.GetId() != learner.GetId() {
-				change = &schema.ChangeReplica{Kind: schema.ChangeReplica_KIND_REMOVE, Id: r.GetId()}
-			}
-		}
+	if change := l.core.NextChange(c.wantedVoters, now); change != nil {
 		_ = l.core.ChangeReplica(change, now)
 	}
 	c.flush(l)
--- a/internal/replicator/replica_sets.go
+++ b/internal/replicator/replica_sets.go
@@ -180,23 +180,25 @@
 // recently.
 func (c *Core) isCaughtUp(id uint64, now time.Time) bool {
 	p := c.progress[id]
-	return p != nil && p.match+maxLearnerLag >= c.log.lastIndex() && p.match >= c.sets.currentIndex() &&
-		now.Sub(p.lastContact) < learnerInterval+ElectionTimeout
+	return p != nil && p.match+maxLearnerLag >= c.log.lastIndex() && p.match >= c.sets.currentIndex() && p.isResponsive(now)
 }
 
-// PromotableLearners returns the learners that have caught up and may be promoted.
-func (c *Core) PromotableLearners(now time.Time) []*schema.ReplicaInfo {
-	var out []*schema.ReplicaInfo
-	for _, r := range c.sets.current().GetReplicas() {
-		if r.GetLearner() && c.isCaughtUp(r.GetId(), now) {
-			out = append(out, r)
-		}
+// isResponsive reports whether the replica has replied to this leader, and did so recently.
+func (p *progress) isResponsive(now time.Time) bool {
+	return p.replied && now.Sub(p.lastContact) < contactTimeout
+}
+
+// isResponsive reports whether a replica has replied to this leader within contactTimeout. It is true of the leader itself.
+func (c *Core) isResponsive(id uint64, now time.Time) bool {
+	if id == c.id {
+		return true
 	}
-	return out
+	p := c.progress[id]
+	return p != nil && p.isResponsive(now)
 }
 
-// SinceContact returns the time since the leader last heard from a replica, or zero for an unknown replica.
-func (c *Core) SinceContact(id uint64, now time.Time) time.Duration {
+// sinceContact returns the time since the leader last heard from a replica, or zero for the leader itself.
+func (c *Core) sinceContact(id uint64, now time.Time) time.Duration {
 	p := c.progress[id]
 	if p == nil {
 		return 0
--- /dev/null
+++ b/internal/replicator/second_loss_test.go
@@ -0,0 +1,90 @@
+package replicator
+
+import (
+	"testing"
+	"time"
+)
+
+const (
+	// restartPause is the time after which a host that was killed is back.
+	restartPause = 500 * time.Millisecond
+	// catchUpLimit is the time after its return in which a host without a disk has been replaced.
+	catchUpLimit = 4 * time.Second
+	// recoveryLimit is the time after the end of all faults in which changes are accepted again.
+	recoveryLimit = 15 * time.Second
+)
+
+// newCalmCluster returns a cluster that has its wanted number of voters, with standby replicas beyond them.
+func newCalmCluster(t *testing.T, seed uint64, hosts, wantedVoters int) *cluster {
+	t.Helper()
+	c := newCluster(t, seed, hosts)
+	c.wantedVoters = wantedVoters
+	c.run(3*time.Second, false)
+	l := c.leader()
+	if l == nil || len(l.core.voters()) != wantedVoters || len(l.core.Replicas()) != hosts {
+		t.Fatalf("the replicas are not set up: %s", c.describe())
+	}
+	return c
+}
+
+func (c *cluster) runUntil(at time.Duration) {
+	c.run(at-c.now, false)
+}
+
+// loseDisk stops a host and empties its disk.
+func (c *cluster) loseDisk(h *simulatedHost) {
+	c.initializeDisk(h)
+	h.core = nil
+}
+
+// checkServes checks that a leader is elected within recoveryLimit, accepts changes and has all that was acknowledged.
+func (c *cluster) checkServes(acknowledged uint64) {
+	c.run(recoveryLimit, false)
+	l := c.leader()
+	if l == nil {
+		c.t.Fatalf("no leader %v after the last fault: %s", recoveryLimit, c.describe())
+	}
+	if l.applied < acknowledged {
+		c.t.Fatalf("the leader has applied %d of %d acknowledged entries", l.applied, acknowledged)
+	}
+	if index, ok := l.core.Propose([]byte("last"), c.clock(l)); !ok {
+		c.t.Fatalf("the leader accepts no change")
+	} else if c.run(time.Second, false); c.acknowledged < index {
+		c.t.Fatalf("the last change is not acknowledged: %s", c.describe())
+	}
+}
+
+// TestLeaderChangeBetweenTwoLostDisksEndsControl guards against control hosts that never elect a leader again: the leader is
+// killed while a host without its disk is being replaced, and loses its own disk after that host has had catchUpLimit.
+func TestLeaderChangeBetweenTwoLostDisksEndsControl(t *testing.T) {
+	for _, hosts := range []int{3, 4, 5} {
+		for killAfter := 600 * time.Millisecond; killAfter < catchUpLimit; killAfter += 200 * time.Millisecond {
+			c := newCalmCluster(t, uint64(killAfter), hosts, 3)
+			start, acknowledged := c.now, c.acknowledged
+			first := c.leader()
+			c.loseDisk(first)
+			c.runUntil(start + restartPause)
+			c.start(first)
+			c.runUntil(start + killAfter)
+			second := c.leader()
+			if second == nil {
+				// No leader has been elected yet; kill the one that follows.
+				c.runUntil(start + killAfter + time.Second)
+				if second = c.leader(); second == nil {
+					t.Fatalf("no leader after the first lost disk: %s", c.describe())
+				}
+			}
+			second.core = nil
+			c.runUntil(c.now + restartPause)
+			c.start(second)
+			c.runUntil(max(c.now, start+restartPause+catchUpLimit+timeStep))
+			c.loseDisk(second)
+			c.runUntil(c.now + restartPause)
+			c.start(second)
+			c.checkServes(acknowledged)
+			if got := len(c.leader().core.voters()); got != 3 {
+				t.Fatalf("%d voters in the end, want 3: %s", got, c.describe())
+			}
+		}
+	}
+}
