Promote the standby replica before the unresponsive voter is removed

Cause: the voter was removed first. Until the standby replica was promoted two voters were left, both of which every commit needs. When one of them lost its disk then, the frozen voter, back with its disk, and the standby replica, which has the log, had no vote.

Ruled out: a standby replica that lacks the change (in the failing schedule h3 has all 316 entries of the survivor).

Change: the standby replica is promoted first, and the voter that has been silent for longest is removed once there is one voter more than wanted. Between the two a commit needs three of four voters. If the silent voter is back by then, whichever was silent for longest leaves, and joins again as a learner.

Evidence: TestLeaderDiskLostWhileFrozenVoterIsReplacedLosesChange takes the leader's disk at 40 moments around the replacement in simulated time.

--- a/internal/replicator/membership.go
+++ b/internal/replicator/membership.go
@@ -53,20 +53,25 @@
 			return removal(m)
 		}
 	}
-	standby := promotable(members)
-	if standby == nil {
-		return removeSilent(members, true, removeLearnerAfter)
-	}
 	voters := 0
 	for _, m := range members {
 		if !m.learner {
 			voters++
 		}
 	}
-	if wantedVoters == 0 || voters < wantedVoters {
+	if wantedVoters > 0 && voters > wantedVoters {
+		return removal(mostSilentVoter(members))
+	}
+	standby := promotable(members)
+	if standby == nil {
+		return removeSilentLearner(members)
+	}
+	// A voter is replaced by promoting the standby replica first: with one voter fewer, the loss of the leader's disk could leave
+	// no quorum that has the log.
+	if wantedVoters == 0 || voters < wantedVoters || mostSilentVoter(members).sinceContact > replaceReplicaAfter {
 		return &schema.ChangeReplica{Kind: schema.ChangeReplica_KIND_PROMOTE, Id: standby.id}
 	}
-	return removeSilent(members, false, replaceReplicaAfter)
+	return nil
 }
 
 // isSuperseded reports whether a replica is an earlier one of a host that lost its disk and has returned with another ID. The
@@ -97,10 +102,21 @@
 	return nil
 }
 
-// removeSilent removes the first learner, or the first voter, without contact for longer than limit.
-func removeSilent(members []member, learner bool, limit time.Duration) *schema.ChangeReplica {
+// mostSilentVoter returns the voter that the leader has not heard from for the longest time.
+func mostSilentVoter(members []member) member {
+	var most member
+	for _, m := range members {
+		if !m.learner && (most.id == 0 || m.sinceContact > most.sinceContact) {
+			most = m
+		}
+	}
+	return most
+}
+
+// removeSilentLearner removes the first learner without contact for longer than removeLearnerAfter.
+func removeSilentLearner(members []member) *schema.ChangeReplica {
 	for _, m := range members {
-		if m.learner == learner && m.sinceContact > limit {
+		if m.learner && m.sinceContact > removeLearnerAfter {
 			return removal(m)
 		}
 	}
--- a/internal/replicator/second_loss_test.go
+++ b/internal/replicator/second_loss_test.go
@@ -88,3 +88,31 @@
 		}
 	}
 }
+
+// TestLeaderDiskLostWhileFrozenVoterIsReplacedLosesChange guards against an acknowledged change that can't be read again: the
+// leader loses its disk while a standby replica takes the place of a frozen voter, which still has its disk.
+func TestLeaderDiskLostWhileFrozenVoterIsReplacedLosesChange(t *testing.T) {
+	for offset := time.Duration(0); offset < 400*time.Millisecond; offset += 10 * time.Millisecond {
+		c := newCalmCluster(t, uint64(offset), 4, 3)
+		start, leader := c.now, c.leader()
+		var frozen *simulatedHost
+		for _, h := range c.hosts {
+			if h != leader && h.core.isVoter() {
+				frozen = h
+			}
+		}
+		c.partitioned[frozen.name] = true
+		c.runUntil(start + replaceReplicaAfter + offset)
+		leader = c.leader()
+		for before := c.acknowledged; c.acknowledged == before; {
+			c.run(timeStep, false)
+		}
+		acknowledged := c.acknowledged
+		c.loseDisk(leader)
+		c.runUntil(c.now + restartPause)
+		c.start(leader)
+		c.run(time.Second, false)
+		delete(c.partitioned, frozen.name)
+		c.checkServes(acknowledged)
+	}
+}
