Confirm the first heartbeat of an upstream by a health check after a restart of its node

Cause: a node has no disk, and keeps departures, the sequence of heartbeats and the draining state in memory. After a restart nothing tells an old heartbeat from a current one: its sequence and start time are the first that the new process sees.

Ruled out: other nodes that still know the worker (a request passes the gate beside the worker, which refuses it without an upstream); the health check after a start (a worker that leaves answers 503, so it is not adopted).

Change: for a minute after a start that is not the fleet's first, the time for which departures are remembered too, an instance that this process does not know is registered only once a health check has been answered by that instance. Draining heartbeats count at once. A service without a health path, and the product's own interface, which has no health checks, work as before. Related path: a late heartbeat of an earlier instance replaced one that a health check had found; it no longer does.

--- a/internal/announcer/adopt_test.go
+++ b/internal/announcer/adopt_test.go
@@ -8,10 +8,12 @@
 	"github.com/lavenderhub/lavenderhub/internal/timer"
 )
 
+var testAddress = netip.MustParseAddrPort("127.0.0.1:1000")
+
 // TestAdopt checks that the next heartbeat after a health check updates the adopted upstream, unless the heartbeat names
 // another instance.
 func TestAdopt(t *testing.T) {
-	addr := netip.MustParseAddrPort("127.0.0.1:1000")
+	addr := testAddress
 	heartbeat := func(instance string, beganMillis int64, state string) Announcement {
 		return Announcement{
 			Service: "s", Address: addr.String(), Slots: 8, State: state, Instance: instance, Began: time.UnixMilli(beganMillis), Sequence: 1,
@@ -57,14 +59,17 @@
 	}
 }
 
-// TestAdoptRefused checks that Adopt refuses an instance that left, and a second upstream of a service.
+// TestAdoptRefused checks that Adopt refuses an instance that left or has no slots, and a second upstream of a service.
 func TestAdoptRefused(t *testing.T) {
-	addr := netip.MustParseAddrPort("127.0.0.1:1000")
+	addr := testAddress
 	a := New(timer.New(), nil)
 	a.RemoveInstance("i-1", time.Time{})
 	if a.Adopt("s", addr, "i-1", 8) == nil {
 		t.Error("an instance that left was adopted")
 	}
+	if a.Adopt("s", addr, "i-2", 0) == nil {
+		t.Error("an instance without slots was adopted")
+	}
 	if err := a.Adopt("s", addr, "i-2", 8); err != nil {
 		t.Fatal(err)
 	}
--- a/internal/announcer/announcer.go
+++ b/internal/announcer/announcer.go
@@ -87,6 +87,11 @@
 	stopping         bool
 	byService        map[string]*Upstream
 	departures       map[string]departure
+	startedAt        time.Time
+	// onUnconfirmed is nil if heartbeats are not to be confirmed.
+	onUnconfirmed func()
+	// unconfirmed holds the newest heartbeat of an instance that is not known to be running, by service.
+	unconfirmed map[string]Announcement
 }
 
 // departure records that an instance left, so that a late heartbeat does not register it again.
@@ -118,11 +123,18 @@
 	return func(a *Announcer) { a.heartbeatTimeout = d }
 }
 
+// WithConfirmation makes an Announcer that has just started wait for a confirmation before it registers an instance: the
+// departure of the instance may have been acknowledged before the start, and its heartbeat be late. It calls f after
+// such a heartbeat; Confirm or Reject decide on it.
+func WithConfirmation(f func()) Option {
+	return func(a *Announcer) { a.onUnconfirmed = f }
+}
+
 // New returns an Announcer without upstreams.
 func New(t *timer.Service, assert *asserter.Asserter, opts ...Option) *Announcer {
 	a := &Announcer{
 		timer: t, assert: assert, onChange: func() {}, byService: map[string]*Upstream{}, departures: map[string]departure{},
-		heartbeatTimeout: HeartbeatTimeout,
+		heartbeatTimeout: HeartbeatTimeout, startedAt: t.Now(), unconfirmed: map[string]Announcement{},
 	}
 	for _, opt := range opts {
 		opt(a)
@@ -187,11 +199,79 @@
 		return err
 	}
 	a.mu.Lock()
-	up := a.byService[msg.Service]
-	if a.isOutdated(msg, up) {
+	if a.isOutdated(msg, a.byService[msg.Service]) {
+		a.mu.Unlock()
+		return nil
+	}
+	if a.needsConfirmation(msg, state) {
+		a.unconfirmed[msg.Service] = msg
 		a.mu.Unlock()
+		a.onUnconfirmed()
 		return nil
 	}
+	if a.unconfirmed[msg.Service].Instance == msg.Instance {
+		delete(a.unconfirmed, msg.Service)
+	}
+	changed := a.register(msg, addr, state)
+	a.mu.Unlock()
+	if changed {
+		a.onChange()
+	}
+	return nil
+}
+
+// needsConfirmation reports whether a heartbeat is the first one of its instance and may have been sent before a departure
+// that this node acknowledged before its start. A draining upstream gets no requests and needs no confirmation, unless it
+// would replace another one.
+func (a *Announcer) needsConfirmation(msg Announcement, state schema.UpstreamState) bool {
+	if a.onUnconfirmed == nil || a.timer.Since(a.startedAt) >= departureRetention {
+		return false
+	}
+	up := a.byService[msg.Service]
+	if up == nil {
+		return state != schema.UpstreamState_UPSTREAM_STATE_DRAINING
+	}
+	return up.Instance != msg.Instance
+}
+
+// Unconfirmed returns the heartbeat of a service that waits for a confirmation, if there is one.
+func (a *Announcer) Unconfirmed(service string) (Announcement, bool) {
+	a.mu.RLock()
+	defer a.mu.RUnlock()
+	msg, ok := a.unconfirmed[service]
+	return msg, ok
+}
+
+// Confirm registers an upstream by its unconfirmed heartbeat, unless another message has decided on the instance meanwhile.
+func (a *Announcer) Confirm(msg Announcement) {
+	addr, state, err := validate(msg)
+	if err != nil {
+		return
+	}
+	a.mu.Lock()
+	changed := false
+	if a.unconfirmed[msg.Service] == msg {
+		delete(a.unconfirmed, msg.Service)
+		changed = !a.isOutdated(msg, a.byService[msg.Service]) && a.register(msg, addr, state)
+	}
+	a.mu.Unlock()
+	if changed {
+		a.onChange()
+	}
+}
+
+// Reject drops an unconfirmed heartbeat. A later heartbeat of its instance needs a confirmation again.
+func (a *Announcer) Reject(msg Announcement) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if a.unconfirmed[msg.Service] == msg {
+		delete(a.unconfirmed, msg.Service)
+	}
+}
+
+// register adds or updates the upstream of a heartbeat and reports whether anything changed that others must learn.
+func (a *Announcer) register(msg Announcement, addr netip.AddrPort, state schema.UpstreamState) bool {
+	up := a.byService[msg.Service]
 	isNew := up == nil || up.Address != addr || up.Instance != msg.Instance || (!up.adopted && !up.began.Equal(msg.Began))
 	if isNew {
 		if up != nil {
@@ -212,11 +292,7 @@
 	} else {
 		up.Gate.Drain()
 	}
-	a.mu.Unlock()
-	if changed {
-		a.onChange()
-	}
-	return nil
+	return changed
 }
 
 // Adopt registers an upstream that responded to a health check before its first heartbeat. It returns an error when the
--- a/internal/prober/prober.go
+++ b/internal/prober/prober.go
@@ -1,5 +1,5 @@
-// Package prober finds an upstream that is already running when its node starts. Until the upstream's next heartbeat,
-// only a health check can find it.
+// Package prober finds an upstream that is already running when its node starts, and confirms heartbeats that may be older
+// than the start. Only a health check of the upstream shows that it is running.
 package prober
 
 import (
@@ -20,8 +20,8 @@
 	// checkInterval is the time between two health checks, and the timeout of each. A health check stays on this host and
 	// at most waits for a slot of the upstream.
 	checkInterval = 200 * time.Millisecond
-	// maxChecks bounds the health checks of one start, since they occupy slots of the upstream. The next heartbeat is
-	// due before the last of them.
+	// maxChecks bounds the health checks after a start and after each heartbeat that waits for a confirmation, since they
+	// occupy slots of the upstream. The next heartbeat is due before the last of them.
 	maxChecks = 5
 	// maxWait bounds the wait for the settings that contain the path of the health check.
 	maxWait = 10 * time.Second
@@ -30,7 +30,8 @@
 // Health is the result of a health check of a healthy upstream.
 type Health struct {
 	Instance string
-	Slots    int
+	// Slots is zero if the response does not tell the number of slots.
+	Slots int
 }
 
 // Parts are the dependencies and settings of a Prober.
@@ -41,68 +42,107 @@
 	// Service and Address are those of the local upstream.
 	Service string
 	Address netip.AddrPort
-	// HealthPath returns the path of the health check, or an empty string while it is not known.
-	HealthPath func() string
+	// HealthPath returns the path of the health check, which is empty if the service has none. It returns false while the
+	// settings that contain the path are not known.
+	HealthPath func() (string, bool)
 	// ReadHealth decodes the response to a health check. It returns false when the upstream is not healthy.
 	ReadHealth func(*http.Response) (Health, bool)
 }
 
-// Prober searches for one upstream.
+// Prober makes the health checks of one upstream.
 type Prober struct {
 	Parts
-	pool *exchanger.Pool
+	wake chan struct{}
 }
 
 // New returns a Prober with the given dependencies and settings.
 func New(p Parts) *Prober {
-	return &Prober{Parts: p, pool: exchanger.New(p.Address, p.Timer)}
+	return &Prober{Parts: p, wake: make(chan struct{}, 1)}
 }
 
-// Run makes health checks until the upstream is known from one of them or from its own heartbeat, or until it reaches
-// the limits on checks and time.
+// Wake makes Run look for a heartbeat that waits for a confirmation.
+func (p *Prober) Wake() {
+	select {
+	case p.wake <- struct{}{}:
+	default:
+	}
+}
+
+// Run searches for the upstream, and then confirms heartbeats until ctx ends.
 func (p *Prober) Run(ctx context.Context) error {
-	began := p.Timer.Now()
-	for checks := 0; checks < maxChecks && p.Timer.Since(began) < maxWait; {
-		if p.Announcer.Upstream(p.Service) != nil {
+	p.search(ctx)
+	for {
+		select {
+		case <-p.wake:
+			p.search(ctx)
+		case <-ctx.Done():
 			return nil
 		}
-		if path := p.HealthPath(); path != "" {
+	}
+}
+
+// search makes health checks until the upstream is known from one of them or from its own heartbeat and no heartbeat waits
+// for a confirmation, or until it reaches the limits on checks and time.
+func (p *Prober) search(ctx context.Context) {
+	began := p.Timer.Now()
+	for checks := 0; checks < maxChecks; {
+		msg, waiting := p.Announcer.Unconfirmed(p.Service)
+		if !waiting && (p.Announcer.Upstream(p.Service) != nil || p.Timer.Since(began) >= maxWait) {
+			return
+		}
+		switch path, known := p.HealthPath(); {
+		case known && path == "" && waiting:
+			p.Announcer.Confirm(msg)
+		case path != "":
 			checks++
-			if p.probe(ctx, path) {
-				return nil
-			}
+			p.probe(ctx, path, msg)
 		}
 		if p.Timer.Sleep(ctx, checkInterval) != nil {
 			// The context has ended, since the process is stopping.
-			return nil
+			return
 		}
 	}
-	return nil
+	if msg, waiting := p.Announcer.Unconfirmed(p.Service); waiting {
+		p.Announcer.Reject(msg)
+		p.Log.Warn("heartbeatNotConfirmed", zap.String("service", p.Service), zap.String("instance", msg.Instance))
+	}
 }
 
-// probe makes one health check and reports whether it found the upstream and registered it.
-func (p *Prober) probe(ctx context.Context, path string) bool {
-	health, err := p.check(ctx, path)
+// probe makes one health check. It registers the instance that answers: by its heartbeat if msg is from the same instance,
+// and otherwise by the answer.
+func (p *Prober) probe(ctx context.Context, path string, msg announcer.Announcement) {
+	addr := p.Address
+	if announced, err := netip.ParseAddrPort(msg.Address); err == nil {
+		addr = announced
+	}
+	health, err := p.check(ctx, addr, path)
+	if err == nil && health.Instance == msg.Instance {
+		p.Announcer.Confirm(msg)
+		p.Log.Info("heartbeatConfirmed", zap.String("service", p.Service), zap.String("instance", msg.Instance))
+		return
+	}
 	if err == nil {
-		err = p.Announcer.Adopt(p.Service, p.Address, health.Instance, health.Slots)
+		p.Announcer.Reject(msg)
+		err = p.Announcer.Adopt(p.Service, addr, health.Instance, health.Slots)
 	}
 	if err != nil {
-		p.Log.Info("upstreamNotFound", zap.String("service", p.Service), zap.Stringer("address", p.Address), zap.Error(err))
-		return false
+		p.Log.Info("upstreamNotFound", zap.String("service", p.Service), zap.Stringer("address", addr), zap.Error(err))
+		return
 	}
-	p.Log.Info("upstreamFound", zap.String("service", p.Service), zap.Stringer("address", p.Address),
+	p.Log.Info("upstreamFound", zap.String("service", p.Service), zap.Stringer("address", addr),
 		zap.String("instance", health.Instance), zap.Int("slots", health.Slots))
-	return true
 }
 
-func (p *Prober) check(ctx context.Context, path string) (Health, error) {
+func (p *Prober) check(ctx context.Context, addr netip.AddrPort, path string) (Health, error) {
 	ctx, cancel := context.WithTimeout(ctx, checkInterval)
 	defer cancel()
-	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+p.Address.String()+path, http.NoBody)
+	pool := exchanger.New(addr, p.Timer)
+	defer pool.Close()
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+addr.String()+path, http.NoBody)
 	if err != nil {
 		return Health{}, errors.Wrap(err, "build health check")
 	}
-	resp, _, err := p.pool.Do(req, true)
+	resp, _, err := pool.Do(req, true)
 	if err != nil {
 		return Health{}, errors.Wrap(err, "health check")
 	}
--- a/internal/runner/node.go
+++ b/internal/runner/node.go
@@ -77,6 +77,7 @@
 	cfg          *schema.NodeSettings
 	tomb         tomb.Tomb
 	announcer    *announcer.Announcer
+	prober       *prober.Prober
 	router       *router.Router
 	syncer       *syncer.Syncer
 	aggregator   *aggregator.Aggregator
@@ -99,7 +100,12 @@
 	n.recorder = reporter.NewRecorder(b.Timer)
 	n.router = router.New(cfg.GetName(), cfg.GetFailureDomain(), cfg.GetRegion(), baseline.Router...)
 	n.face = newFace(cfg)
-	n.announcer = announcer.New(b.Timer, b.Assert, n.face.announcerOptions(func() { n.syncer.Wake() }, baseline.Gate)...)
+	proberOpts, err := n.newProber()
+	if err != nil {
+		return nil, err
+	}
+	n.announcer = announcer.New(b.Timer, b.Assert,
+		append(n.face.announcerOptions(func() { n.syncer.Wake() }, baseline.Gate), proberOpts...)...)
 	callerListener, err := listen(cfg.GetCallerAddress())
 	if err != nil {
 		return nil, err
@@ -114,12 +120,10 @@
 	}
 	n.newForwarder(baseline.Overrides)
 	n.syncer.Run()
+	n.startProber()
 	if err := n.face.listen(n); err != nil {
 		return nil, err
 	}
-	if err := n.startProber(); err != nil {
-		return nil, err
-	}
 	n.callerServer = b.Security.Serve(&n.tomb, callerListener, dialer.Callers, n.face.callerHandler(n))
 	n.peerServer = b.Security.Serve(&n.tomb, peerListener, dialer.Peers, n.peerHandler())
 	n.Log.Info("nodeStarted", zap.String("node", cfg.GetName()),
@@ -136,27 +140,39 @@
 	return dialer.ListenTCP(addr)
 }
 
-// startProber starts health checks of the local upstream if the settings contain its address.
-func (n *Node) startProber() error {
+// newProber creates the prober of the local upstream if the settings contain its address and the face has health checks. It
+// returns the announcer's options that go with it.
+func (n *Node) newProber() ([]announcer.Option, error) {
 	if n.cfg.GetUpstreamAddress() == "" || n.face.readHealth == nil {
-		return nil
+		return nil, nil
 	}
 	addr, err := netip.ParseAddrPort(n.cfg.GetUpstreamAddress())
 	if err != nil {
-		return errors.Wrapf(err, "upstream address %q", n.cfg.GetUpstreamAddress())
+		return nil, errors.Wrapf(err, "upstream address %q", n.cfg.GetUpstreamAddress())
 	}
 	service := n.cfg.GetService()
-	p := prober.New(prober.Parts{
-		Timer: n.Timer, Log: n.Log, Announcer: n.announcer, Service: service, Address: addr, ReadHealth: n.face.readHealth,
-		HealthPath: func() string {
+	n.prober = prober.New(prober.Parts{
+		Timer: n.Timer, Log: n.Log, Service: service, Address: addr, ReadHealth: n.face.readHealth,
+		HealthPath: func() (string, bool) {
 			if view := n.syncer.View(); view != nil {
-				return view.HealthPath(service)
+				return view.HealthPath(service), true
 			}
-			return ""
+			return "", false
 		},
 	})
-	n.tomb.Go(func() error { return p.Run(n.tomb.Context(context.Background())) })
-	return nil
+	if n.cfg.GetFirstStart() {
+		return nil, nil
+	}
+	return []announcer.Option{announcer.WithConfirmation(n.prober.Wake)}, nil
+}
+
+// startProber starts the prober if there is one.
+func (n *Node) startProber() {
+	if n.prober == nil {
+		return
+	}
+	n.prober.Announcer = n.announcer
+	n.tomb.Go(func() error { return n.prober.Run(n.tomb.Context(context.Background())) })
 }
 
 // serveCaller serves announcements of the local upstream and forwards all other requests.
--- a/internal/runner/platform_test.go
+++ b/internal/runner/platform_test.go
@@ -43,6 +43,8 @@
 	mu        sync.Mutex
 	requests  []*http.Request
 	runCounts map[string]int
+	// leaving is set while health checks are answered with 503.
+	leaving bool
 	// earlyBodies holds the request bodies that arrived after early responses.
 	earlyBodies []string
 }
@@ -105,13 +107,17 @@
 // respond writes the response that the last segment of the path selects. It reports whether the connection stays open.
 func (w *platformWorker) respond(c net.Conn, r *http.Request, body []byte) bool {
 	id := r.Header.Get("X-Attempt-Id")
+	w.mu.Lock()
+	instance, leaving := w.instance, w.leaving
+	w.mu.Unlock()
 	if r.URL.Path == "/h" {
-		fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nX-Instance-Id: %s\r\nX-Server-Load: 3,0,20\r\nContent-Length: 0\r\n\r\n", w.instance)
+		status := "200 OK"
+		if leaving {
+			status = "503 Service Unavailable"
+		}
+		fmt.Fprintf(c, "HTTP/1.1 %s\r\nX-Instance-Id: %s\r\nX-Server-Load: 3,0,20\r\nContent-Length: 0\r\n\r\n", status, instance)
 		return true
 	}
-	w.mu.Lock()
-	instance := w.instance
-	w.mu.Unlock()
 	if expected := r.Header.Get("X-Expect-Instance"); expected != instance {
 		fmt.Fprintf(c, "HTTP/1.1 421 Misdirected Request\r\nX-Instance-Id: %s\r\nContent-Length: 0\r\n\r\n", instance)
 		return true
@@ -581,6 +587,59 @@
 	}
 }
 
+// TestPlatformDepartedUpstreamServesAfterRestart guards against requests to an upstream whose departure was acknowledged before
+// its node was restarted, and one of whose heartbeats arrives late.
+func TestPlatformDepartedUpstreamServesAfterRestart(t *testing.T) {
+	tests := []struct {
+		name   string
+		depart func(f *platformFleet) int
+	}{
+		{"deregistered", func(f *platformFleet) int {
+			return f.post("http://"+f.nodes[1].node.cfg.GetAnnounceAddress()+"/instances/i-1/deregister", `{"born":1000}`)
+		}},
+		{"draining", func(f *platformFleet) int { return f.heartbeat(1, "draining", 3) }},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			f := startServingPlatformFleet(t)
+			w := f.workers[1]
+			w.mu.Lock()
+			w.leaving = true
+			w.mu.Unlock()
+			if status := tt.depart(f); status != http.StatusOK {
+				t.Fatalf("departure: status %d", status)
+			}
+			cfg := f.nodes[1].node.cfg
+			if err := f.nodes[1].node.Kill(); err != nil {
+				t.Fatal(err)
+			}
+			f.nodes[1] = f.start(&schema.Settings{TrustedNetwork: true, Node: cfg})
+			waitUntil(t, "the restarted node has the configuration", func() bool {
+				return f.send(1, http.MethodGet, "/zero/x", "key-a", "probe", "").status == http.StatusOK
+			})
+			if status := f.heartbeat(1, "ready", 2); status != http.StatusOK {
+				t.Fatalf("late heartbeat: status %d", status)
+			}
+			for n := range 40 {
+				id := fmt.Sprintf("late-%d", n)
+				if got := f.send(n%2, http.MethodGet, "/one/x", "key-a", id, ""); got.status == http.StatusOK || w.runCount(id) > 0 {
+					t.Fatalf("request %d reached the departed upstream: status %d", n, got.status)
+				}
+				time.Sleep(25 * time.Millisecond)
+			}
+			w.mu.Lock()
+			w.instance, w.leaving = "i-new", false
+			w.mu.Unlock()
+			n := 0
+			waitUntil(t, "the next instance serves requests", func() bool {
+				n++
+				f.heartbeat(1, "ready", n)
+				return f.send(0, http.MethodGet, "/one/x", "key-a", fmt.Sprintf("new-%d", n), "").status == http.StatusOK
+			})
+		})
+	}
+}
+
 // TestPlatformEarlyResponse checks the response of an upstream that responds before it has read a long body. The response
 // must be forwarded unchanged, the upstream must not get other bytes in place of the body, and the next request must
 // succeed.
