Ignore a late heartbeat of an upstream that drained and fell silent

A worker reports that it is draining, sends no more heartbeats while it serves on, and a heartbeat from before arrives after its registration has expired.

Cause: with the upstream its sequence was forgotten, so that the late heartbeat was the first of an unknown instance.

Change: the start time and the sequence of the last heartbeat are kept for departureRetention after an expiry. A later heartbeat of the instance registers it again as before.

--- a/internal/announcer/announcer.go
+++ b/internal/announcer/announcer.go
@@ -87,6 +87,7 @@
 	stopping         bool
 	byService        map[string]*Upstream
 	departures       map[string]departure
+	expiries         map[string]expiry
 	startedAt        time.Time
 	// onUnconfirmed is nil if heartbeats are not to be confirmed.
 	onUnconfirmed func()
@@ -100,6 +101,14 @@
 	leftAt time.Time
 }
 
+// expiry records the last heartbeat of an instance whose heartbeats stopped, so that an earlier one that is late does not undo
+// a state announced later, such as draining.
+type expiry struct {
+	began     time.Time
+	sequence  uint64
+	expiredAt time.Time
+}
+
 // Option configures a new Announcer.
 type Option func(*Announcer)
 
@@ -134,6 +143,7 @@
 func New(t *timer.Service, assert *asserter.Asserter, opts ...Option) *Announcer {
 	a := &Announcer{
 		timer: t, assert: assert, onChange: func() {}, byService: map[string]*Upstream{}, departures: map[string]departure{},
+		expiries: map[string]expiry{},
 		heartbeatTimeout: HeartbeatTimeout, startedAt: t.Now(), unconfirmed: map[string]Announcement{},
 	}
 	for _, opt := range opts {
@@ -324,6 +334,9 @@
 	if d, ok := a.departures[msg.Instance]; ok && msg.Instance != "" && !msg.Began.After(d.began) {
 		return true
 	}
+	if e, ok := a.expiries[msg.Instance]; ok && msg.Began.Equal(e.began) && msg.Sequence != 0 && msg.Sequence <= e.sequence {
+		return true
+	}
 	if up == nil || msg.Began.IsZero() {
 		return false
 	}
@@ -444,7 +457,7 @@
 	delete(a.byService, up.Service)
 }
 
-// Expire removes the upstreams whose heartbeats have stopped, and old records of departures.
+// Expire removes the upstreams whose heartbeats have stopped, and old records of departures and expiries.
 func (a *Announcer) Expire() {
 	a.mu.Lock()
 	now := a.timer.Now()
@@ -453,6 +466,9 @@
 		if now.Sub(up.lastHeartbeat) > a.heartbeatTimeout {
 			a.detach(up)
 			expired++
+			if up.Instance != "" {
+				a.expiries[up.Instance] = expiry{began: up.began, sequence: up.sequence, expiredAt: now}
+			}
 		}
 	}
 	for instance, d := range a.departures {
@@ -460,6 +476,11 @@
 			delete(a.departures, instance)
 		}
 	}
+	for instance, e := range a.expiries {
+		if now.Sub(e.expiredAt) > departureRetention {
+			delete(a.expiries, instance)
+		}
+	}
 	a.mu.Unlock()
 	if expired > 0 {
 		a.onChange()
