Answer 404 to a path with a NUL in place of ending the process

It can happen here: one heartbeat with %00 as its instance ends a node, with exit status 70, and every router of a node or control host has paths that do the same (/ready%00, /config/get%00).

Cause: bunrouter looks up the first byte of a path segment in a table, which is empty for a node of its tree without children; for a NUL it takes the empty table for one that holds it, and panics. A panic in a handler ends the process on purpose (dialer.stopOnPanic).

Change: RejectUnroutable answers before the router. Callers' requests don't pass a router and are forwarded unchanged.

--- a/internal/runner/admin.go
+++ b/internal/runner/admin.go
@@ -63,7 +63,7 @@
 		return exporter.Write(w, a.Registry, a.Assert)
 	})
 	r.GET(reporter.Path, a.serveBurn)
-	return r
+	return dialer.RejectUnroutable(r)
 }
 
 func (a *Admin) serveReady(w http.ResponseWriter, _ bunrouter.Request) error {
