Refuse heartbeats whose start time, sequence or instance is out of range

It can happen here: after one heartbeat with the largest sequence or start time that JSON and int64 hold, all later heartbeats of the service's sound upstream counted as outdated, so that it could not drain, and was removed when its registration expired.

Cause: the values that order heartbeats were not checked.

--- a/internal/announcer/announcer.go
+++ b/internal/announcer/announcer.go
@@ -29,6 +29,12 @@
 	HeartbeatTimeout = 2 * time.Second
 	// departureRetention is how long an instance that left is remembered. Heartbeats are delayed by a few seconds at most.
 	departureRetention = time.Minute
+	// maxBeganAhead is how far the start of an instance may be ahead of this host's clock.
+	maxBeganAhead = 24 * time.Hour
+	// maxSequence is the greatest integer that every JSON number can hold exactly.
+	maxSequence = 1 << 53
+	// maxInstanceBytes bounds the length of an instance's identifier.
+	maxInstanceBytes = 128
 	// maxSlots bounds the slots that an upstream may announce.
 	maxSlots = 100000
 	// maxBody bounds the size of an announcement in bytes.
@@ -143,7 +149,7 @@
 func New(t *timer.Service, assert *asserter.Asserter, opts ...Option) *Announcer {
 	a := &Announcer{
 		timer: t, assert: assert, onChange: func() {}, byService: map[string]*Upstream{}, departures: map[string]departure{},
-		expiries: map[string]expiry{},
+		expiries:         map[string]expiry{},
 		heartbeatTimeout: HeartbeatTimeout, startedAt: t.Now(), unconfirmed: map[string]Announcement{},
 	}
 	for _, opt := range opts {
@@ -205,6 +211,9 @@
 // Announce processes one heartbeat.
 func (a *Announcer) Announce(msg Announcement) error {
 	addr, state, err := validate(msg)
+	if err == nil {
+		err = a.validateOrder(msg)
+	}
 	if err != nil {
 		return err
 	}
@@ -372,6 +381,31 @@
 	}
 }
 
+// validateOrder checks the values that order the heartbeats. With one that is too large, all later heartbeats of the service's
+// upstream would count as outdated.
+func (a *Announcer) validateOrder(msg Announcement) error {
+	switch {
+	case !isInstance(msg.Instance):
+		return errors.Errorf("bad instance %.20q, want at most %d letters, digits and . _ : ~ -", msg.Instance, maxInstanceBytes)
+	case msg.Sequence > maxSequence:
+		return errors.Errorf("bad sequence %d, want at most %d", msg.Sequence, maxSequence)
+	case !msg.Began.IsZero() && (msg.Began.Unix() < 0 || msg.Began.After(a.timer.Now().Add(maxBeganAhead))):
+		return errors.Errorf("bad start time %v, want one since 1970 that is not in the future", msg.Began)
+	}
+	return nil
+}
+
+// isInstance reports whether an identifier consists of characters that need no escapes in a path or header. It may be empty.
+func isInstance(id string) bool {
+	for _, r := range id {
+		isAlphanumeric := 'a' <= r && r <= 'z' || 'A' <= r && r <= 'Z' || '0' <= r && r <= '9'
+		if !isAlphanumeric && !strings.ContainsRune("._:~-", r) {
+			return false
+		}
+	}
+	return len(id) <= maxInstanceBytes
+}
+
 func (a *Announcer) newUpstream(msg Announcement, addr netip.AddrPort) *Upstream {
 	return &Upstream{
 		Service:  msg.Service,
