Answer requests in progress at the end of a stop, and refuse late calls of the local upstream

Cause: requests of callers with a deadline after the end of the stop were refused before their token was drawn, but not checked again after the wait for the token or for the claim of an idempotency key, which lasts up to half of the time left. Calls of the local upstream were never refused. Requests that had come before the upstream drained, in the first half of the grace, were cut when the process ended, with their connections.

Ruled out: a body that arrives late and a pipelined request behind others (both are checked after the wait; by reading); TestStoppingNodeCutsLateRequest passed before.

Change: dispatch checks again before the first attempt. A call of the local upstream is refused, not run, when the usual time of its route is longer than what is left. Requests of callers without a response at the end of the stop get 504, which promises nothing, in the 0.2 s kept for last responses; a response that has begun is not broken off for it.

Evidence: TestStopEndsRequestsWithoutAnswer (3 requests in progress after the stop) and TestStoppingNodePassesOnLateNestedCall (ran once; want 503, not run) fail before and pass now. The wait for a token has no test of its own.

--- a/internal/forwarder/attempt.go
+++ b/internal/forwarder/attempt.go
@@ -25,7 +25,7 @@
 // attempt sends a call to one worker: the local upstream or another node. An attempt that exceeds its timeout is canceled
 // once grantRetry permits another one.
 func (f *Forwarder) attempt(ctx context.Context, c *call, t *router.Target, grantRetry func() bool) (*response, *refuser.Refusal) {
-	latency := f.latencies.Of(c.route.Service + " " + c.route.Name)
+	latency := f.latencyOf(c)
 	parentCtx := ctx
 	ctx, cancel := context.WithCancelCause(ctx)
 	// The end of the attempt races with its timer; the first to set decided wins.
@@ -273,6 +273,9 @@
 
 // contextRefusal returns the refusal for a context that has ended, or nil.
 func contextRefusal(ctx context.Context, outcome refuser.Outcome) *refuser.Refusal {
+	if context.Cause(ctx) == errStopEnds {
+		return refuser.New(outcome, refuser.DeadlineExceeded, errStopEnds.Error())
+	}
 	switch ctx.Err() {
 	case nil:
 		return nil
--- a/internal/forwarder/dispatch.go
+++ b/internal/forwarder/dispatch.go
@@ -24,6 +24,10 @@
 // dispatch sends a call to a worker of its service and, while reroutes and retries are allowed, to further ones. Exactly
 // one of the results is set. The response may have a retryable status when no further attempt is allowed.
 func (f *Forwarder) dispatch(ctx context.Context, c *call) (*response, *refuser.Refusal) {
+	// The stop may have begun while the call waited for a token or a claim.
+	if ref := f.refuseOutlasting(c); ref != nil {
+		return nil, ref
+	}
 	if ref := f.shedEarly(c); ref != nil {
 		return nil, ref
 	}
--- a/internal/forwarder/forwarder.go
+++ b/internal/forwarder/forwarder.go
@@ -7,6 +7,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/pkg/errors"
 	"github.com/rcrowley/go-metrics"
 	"go.uber.org/zap"
 
@@ -16,6 +17,7 @@
 	"github.com/lavenderhub/lavenderhub/internal/dialer"
 	"github.com/lavenderhub/lavenderhub/internal/limiter"
 	"github.com/lavenderhub/lavenderhub/internal/logger"
+	"github.com/lavenderhub/lavenderhub/internal/refuser"
 	"github.com/lavenderhub/lavenderhub/internal/reporter"
 	"github.com/lavenderhub/lavenderhub/internal/resolver"
 	"github.com/lavenderhub/lavenderhub/internal/retrier"
@@ -83,15 +85,18 @@
 // Forwarder serves callers, upstreams and other nodes. It is safe for concurrent use.
 type Forwarder struct {
 	Parts
-	bodyLimit         int64
-	admissionLevels   router.Levels
-	retryRatios       retrier.Ratios
-	throttles         retrier.Throttles
-	clientRetries     *retrier.ClientRetries
-	runningRequests   runningTable
-	active            atomic.Int64
-	stopping          atomic.Bool
-	stopEnd           atomic.Pointer[time.Time]
+	bodyLimit       int64
+	admissionLevels router.Levels
+	retryRatios     retrier.Ratios
+	throttles       retrier.Throttles
+	clientRetries   *retrier.ClientRetries
+	runningRequests runningTable
+	active          atomic.Int64
+	stopping        atomic.Bool
+	stopEnd         atomic.Pointer[time.Time]
+	// stopped ends when a stop ends, by a call of endStop.
+	stopped           context.Context
+	endStop           context.CancelCauseFunc
 	meters            meters
 	overrides         Overrides
 	upstreamProtocol  UpstreamProtocol
@@ -147,6 +152,7 @@
 		maxCertificateAge: resolver.DefaultMaxCertificateAge, retryLimit: retrier.DefaultRetryLimit(),
 		decisions: logger.NewDecisionLog(parts.Log),
 	}
+	f.stopped, f.endStop = context.WithCancelCause(context.Background())
 	f.meters = newMeters(parts.Registry)
 	parts.Registry.GetOrRegister("log.leftOut", metrics.NewFunctionalGauge(f.decisions.Dropped))
 	for _, opt := range opts {
@@ -165,16 +171,44 @@
 	f.stopping.Store(true)
 }
 
-// RefuseBeyond makes the node refuse requests whose deadline is after end, since the end of a stop would cut them. Calls of the
-// local upstream are not refused: they belong to requests that the stop waits for.
+// errStopEnds cancels the requests in progress at the end of a stop.
+var errStopEnds = errors.New("the node's stop has ended")
+
+// RefuseBeyond makes the node refuse requests that would be cut by the end of its stop, and answer those still without a
+// response at that time.
 func (f *Forwarder) RefuseBeyond(end time.Time) {
 	f.stopEnd.Store(&end)
+	f.Timer.AfterFunc(f.remaining(end), func() { f.endStop(errStopEnds) })
 }
 
-// outlastsStop reports whether a call may still be in progress when the node's stop ends.
+// StopEnd returns the end that RefuseBeyond has set, or the zero time.
+func (f *Forwarder) StopEnd() time.Time {
+	if end := f.stopEnd.Load(); end != nil {
+		return *end
+	}
+	return time.Time{}
+}
+
+// outlastsStop reports whether a call may still be in progress when the node's stop ends: by its deadline, or for a call of the
+// local upstream, on which a request in progress depends, by the usual time of its route.
 func (f *Forwarder) outlastsStop(c *call) bool {
 	end := f.stopEnd.Load()
-	return end != nil && !c.fromLocalUpstream && c.deadline.After(*end)
+	if end == nil || !c.deadline.After(*end) {
+		return false
+	}
+	return !c.fromLocalUpstream || f.latencyOf(c).Usual() > f.remaining(*end)
+}
+
+// refuseOutlasting returns a refusal if the call may still be in progress when the node's stop ends.
+func (f *Forwarder) refuseOutlasting(c *call) *refuser.Refusal {
+	if !f.outlastsStop(c) {
+		return nil
+	}
+	return refuseNotRun(refuser.Draining, "the node stops before the request's deadline")
+}
+
+func (f *Forwarder) latencyOf(c *call) *retrier.Latency {
+	return f.latencies.Of(c.route.Service + " " + c.route.Name)
 }
 
 type meters struct {
--- a/internal/forwarder/root.go
+++ b/internal/forwarder/root.go
@@ -35,8 +35,15 @@
 		// It is unknown which request in progress makes the call; use the share of retries among the recent ones.
 		c.fromLocalUpstream, c.retryProbability = true, f.retryMeterOf(f.localService).Probability(start)
 	}
-	ctx, cancel := context.WithDeadline(ctx, c.deadline)
+	ctx, cancelDeadline := context.WithDeadline(ctx, c.deadline)
+	ctx, cancelCause := context.WithCancelCause(ctx)
+	cancel := func() {
+		cancelCause(nil)
+		cancelDeadline()
+	}
+	release := context.AfterFunc(f.stopped, func() { cancelCause(errStopEnds) })
 	resp, ref := f.admitRootCall(ctx, req.IdempotencyKey, caller, &c.call)
+	release()
 	ref = setRetryAfter(ref, &c.call)
 	f.recordForBurnReport(&c.call, resp, ref, f.Timer.Since(start))
 	f.logEnd(&c.call, resp, ref, start)
@@ -239,8 +246,8 @@
 
 // admitRootCall enforces the account's policy on a root call and dispatches it.
 func (f *Forwarder) admitRootCall(ctx context.Context, key string, caller callerIdentity, c *call) (*response, *refuser.Refusal) {
-	if f.outlastsStop(c) {
-		return nil, refuseNotRun(refuser.Draining, "the node stops before the request's deadline")
+	if ref := f.refuseOutlasting(c); ref != nil {
+		return nil, ref
 	}
 	if ref := f.shedEarly(c); ref != nil {
 		return nil, ref
--- a/internal/retrier/latency.go
+++ b/internal/retrier/latency.go
@@ -46,14 +46,25 @@
 func (l *Latency) Timeout(left time.Duration) time.Duration {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if l.samples < minSamples {
+	timeout := max(minTimeout, l.usual())
+	if l.samples < minSamples || timeout+time.Duration(l.mean*float64(time.Second)) > left {
 		return 0
 	}
-	timeout := max(minTimeout, time.Duration((l.mean+deviationFactor*l.deviation)*float64(time.Second)))
-	if timeout+time.Duration(l.mean*float64(time.Second)) > left {
+	return timeout
+}
+
+// Usual returns the time within which a response usually comes. It returns zero if there are too few samples.
+func (l *Latency) Usual() time.Duration {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.samples < minSamples {
 		return 0
 	}
-	return timeout
+	return l.usual()
+}
+
+func (l *Latency) usual() time.Duration {
+	return time.Duration((l.mean + deviationFactor*l.deviation) * float64(time.Second))
 }
 
 // Latencies holds one Latency per name. It is safe for concurrent use.
--- a/internal/runner/platform_test.go
+++ b/internal/runner/platform_test.go
@@ -797,11 +797,8 @@
 // TestStoppingNodeCutsLateRequest sends requests to a node that stops while its upstream is still at work.
 func TestStoppingNodeCutsLateRequest(t *testing.T) {
 	f := startServingPlatformFleet(t)
-	f.configure(`"timeoutS":1.5`, `"timeoutS":4`)
+	f.setTimeouts(4 * time.Second)
 	node := f.nodes[0].node
-	waitUntil(t, "the timeouts are in force", func() bool {
-		return node.syncer.View().HostRoute("a.example", "/zero/x").Choose(0).Timeout == 4*time.Second
-	})
 	node.cfg.StopLimit = durationpb.New(leaveNoticeTime + 1500*time.Millisecond)
 	var group sync.WaitGroup
 	group.Go(func() { f.send(0, http.MethodGet, "/zero/unresponsive", "key-a", "long", "") })
@@ -821,3 +818,78 @@
 	}
 	group.Wait()
 }
+
+// setTimeouts sets the timeout of all routes, and waits until it is in force at the first node.
+func (f *platformFleet) setTimeouts(d time.Duration) {
+	f.configure(`"timeoutS":1.5`, fmt.Sprintf(`"timeoutS":%v`, d.Seconds()))
+	waitUntil(f.t, "the timeouts are in force", func() bool {
+		return f.nodes[0].node.syncer.View().HostRoute("a.example", "/zero/x").Choose(0).Timeout == d
+	})
+}
+
+// stopSoon starts the stop of a node whose upstream is at work, and returns once the node refuses requests that would outlast it.
+func (f *platformFleet) stopSoon(group *sync.WaitGroup) {
+	node := f.nodes[0].node
+	node.cfg.StopLimit = durationpb.New(leaveNoticeTime + 1500*time.Millisecond)
+	group.Go(func() {
+		// The servers may take longer to close than the stop's limit, which cuts nothing.
+		_ = node.Stop()
+		if n := node.forwarder.Active(); n > 0 {
+			f.t.Errorf("%d requests are in progress at the end of the stop", n)
+		}
+	})
+	waitUntil(f.t, "the upstream drains", func() bool {
+		return f.send(1, http.MethodGet, "/zero/x", "key-a", "drained", "").status == http.StatusServiceUnavailable
+	})
+}
+
+// TestStopEndsRequestsWithoutAnswer guards against a planned stop at whose end requests in progress are cut without an answer,
+// among them requests that may not be repeated.
+func TestStopEndsRequestsWithoutAnswer(t *testing.T) {
+	f := startServingPlatformFleet(t)
+	f.setTimeouts(8 * time.Second)
+	targets := []string{"/zero/unresponsive", "/one/unresponsive", "/one/open/unresponsive"}
+	got := make([]response, len(targets))
+	var group sync.WaitGroup
+	for i, target := range targets {
+		group.Go(func() {
+			got[i] = f.send(0, http.MethodPost, target, "key-a", fmt.Sprintf("long-%d", i), "order", "X-Deadline-Ms", "8000")
+		})
+	}
+	waitUntil(t, "the upstreams are at work", func() bool {
+		return f.workers[0].runCount("long-0") == 1 && f.workers[1].runCount("long-1") == 1 && f.workers[1].runCount("long-2") == 1
+	})
+	f.stopSoon(&group)
+	group.Wait()
+	for i, r := range got {
+		if r.err != nil || r.status != http.StatusGatewayTimeout {
+			t.Errorf("%s: status %d, error %v; want 504", targets[i], r.status, r.err)
+		}
+	}
+}
+
+// TestStoppingNodePassesOnLateNestedCall guards against calls of the local upstream that are passed on shortly before the end of a
+// stop, and cut by it at their upstream.
+func TestStoppingNodePassesOnLateNestedCall(t *testing.T) {
+	f := startServingPlatformFleet(t)
+	f.setTimeouts(8 * time.Second)
+	nested := func(id string) response {
+		return f.send(0, http.MethodGet, "/one/open/slow", "", id, "", "X-Deadline-Ms", "8000")
+	}
+	var calls sync.WaitGroup
+	for i := range 24 {
+		calls.Go(func() { nested(fmt.Sprintf("usual-%d", i)) })
+	}
+	calls.Wait()
+	var group sync.WaitGroup
+	group.Go(func() { f.send(0, http.MethodGet, "/zero/unresponsive", "key-a", "long", "", "X-Deadline-Ms", "8000") })
+	waitUntil(t, "the upstream is at work", func() bool { return f.workers[0].runCount("long") == 1 })
+	f.stopSoon(&group)
+	end := f.nodes[0].node.forwarder.StopEnd()
+	time.Sleep(time.Until(end.Add(-slowResponse / 2)))
+	late := nested("late")
+	if ran := f.workers[1].runCount("late"); late.status != http.StatusServiceUnavailable || ran != 0 {
+		t.Errorf("status %d, error %v, ran %d times; want 503, not run", late.status, late.err, ran)
+	}
+	group.Wait()
+}
