Test that an upstream's bytes without end do not use up a node's memory

No test covered bodies over the whole path.

TestPlatformUnendingResponseUsesUpMemory sends 80 requests through two nodes, to the local upstream and through a peer, whose responses never end: in the head, in chunks, in a body without a length, in the body of a refusal, and as bytes that begin no response. Half of the callers read, half don't. The heap of the whole process stays within 80 MB, another caller's requests are served meanwhile, and the upstream's connections close after the callers have left.

Result: it can't happen here; nothing had to be changed.

--- a/internal/runner/platform_test.go
+++ b/internal/runner/platform_test.go
@@ -3,13 +3,16 @@
 import (
 	"bufio"
 	"bytes"
+	"context"
 	"fmt"
 	"io"
 	"net"
 	"net/http"
 	"net/netip"
+	"runtime"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -43,6 +46,8 @@
 	mu        sync.Mutex
 	requests  []*http.Request
 	runCounts map[string]int
+	// unending is the number of responses without end that are being sent.
+	unending atomic.Int64
 	// leaving is set while health checks are answered with 503.
 	leaving bool
 	// earlyBodies holds the request bodies that arrived after early responses.
@@ -165,6 +170,17 @@
 	case "unending-head":
 		fmt.Fprintf(c, "HTTP/1.1 200 OK\r\n%s", head)
 		return sendUntilClosed(c, "Name: value\r\n")
+	case "unending-chunks":
+		fmt.Fprintf(c, "HTTP/1.1 200 OK\r\n%sTransfer-Encoding: chunked\r\n\r\n", head)
+		return w.sendUnending(c, "400\r\n"+strings.Repeat("x", 1024)+"\r\n")
+	case "unending-body":
+		fmt.Fprintf(c, "HTTP/1.1 200 OK\r\n%s\r\n", head)
+		return w.sendUnending(c, strings.Repeat("x", 1024))
+	case "unending-refusal":
+		fmt.Fprintf(c, "HTTP/1.1 503 Service Unavailable\r\nX-Attempt-Id: %s\r\nX-Not-Executed: 1\r\n\r\n", id)
+		return w.sendUnending(c, strings.Repeat("x", 1024))
+	case "unending-garbage":
+		return w.sendUnending(c, strings.Repeat("HTTP", 256))
 	case "no-response":
 		_, _ = io.WriteString(c, "none\r")
 		_, _ = io.Copy(io.Discard, c)
@@ -183,6 +199,17 @@
 	return true
 }
 
+// sendUnending is like sendUntilClosed with small writes, and counts the responses that are being sent.
+func (w *platformWorker) sendUnending(c net.Conn, text string) bool {
+	w.unending.Add(1)
+	defer w.unending.Add(-1)
+	for block := []byte(text); ; {
+		if _, err := c.Write(block); err != nil {
+			return false
+		}
+	}
+}
+
 // sendUntilClosed sends a text again and again until the connection is closed.
 func sendUntilClosed(c net.Conn, text string) bool {
 	block := strings.Repeat(text, 1000)
@@ -474,6 +501,70 @@
 	}
 }
 
+// TestPlatformUnendingResponseUsesUpMemory guards against a node that keeps what a faulty upstream sends without end until it
+// runs out of memory, and with it the requests of other callers.
+func TestPlatformUnendingResponseUsesUpMemory(t *testing.T) {
+	const (
+		copies = 4
+		// maxGrowth leaves each of the 80 responses 1 MB for the buffers of two nodes, of the upstream and of the caller.
+		maxGrowth = 80 << 20
+	)
+	f := startServingPlatformFleet(t)
+	f.setTimeouts(8 * time.Second)
+	var before, after runtime.MemStats
+	runtime.GC()
+	runtime.ReadMemStats(&before)
+	ctx, leave := context.WithCancel(t.Context())
+	var callers sync.WaitGroup
+	for _, kind := range []string{"unending-head", "unending-chunks", "unending-body", "unending-refusal", "unending-garbage"} {
+		for i := range 2 * copies {
+			for _, reads := range []bool{false, true} {
+				callers.Go(func() { f.sendAndLeave(ctx, i%2, "/zero/"+kind, fmt.Sprintf("%s-%d-%t", kind, i, reads), reads) })
+			}
+		}
+	}
+	for i := range 40 {
+		id := fmt.Sprint("other-", i)
+		if got := f.send(i%2, http.MethodPost, "/one/open/a", "", id, "x"); got.status != http.StatusOK {
+			t.Errorf("status %d for another caller's request", got.status)
+		}
+		time.Sleep(25 * time.Millisecond)
+	}
+	runtime.GC()
+	runtime.ReadMemStats(&after)
+	if grown := int64(after.HeapInuse) - int64(before.HeapInuse); grown > maxGrowth {
+		t.Errorf("the heap has grown by %d MB, want at most %d MB", grown>>20, maxGrowth>>20)
+	}
+	if n := f.workers[0].unending.Load(); n == 0 {
+		t.Error("no response without end was in progress")
+	}
+	leave()
+	callers.Wait()
+	waitUntil(t, "the upstream's connections are closed", func() bool { return f.workers[0].unending.Load() == 0 })
+}
+
+// sendAndLeave sends a request and reads its response, or only its head, until the caller leaves.
+func (f *platformFleet) sendAndLeave(ctx context.Context, node int, target, id string, reads bool) {
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+f.nodes[node].node.CallerAddr().String()+target, http.NoBody)
+	if err != nil {
+		f.t.Error(err)
+		return
+	}
+	req.Host = "a.example"
+	req.Header.Set("X-Attempt-Id", id)
+	req.Header.Set("X-Deadline-Ms", "8000")
+	req.Header.Set("Authorization", "Bearer key-a")
+	resp, err := http.DefaultTransport.RoundTrip(req)
+	if err != nil {
+		return
+	}
+	defer func() { _ = resp.Body.Close() }()
+	if reads {
+		_, _ = io.Copy(io.Discard, resp.Body)
+	}
+	<-ctx.Done()
+}
+
 func TestPlatformForwardedRequest(t *testing.T) {
 	f := startServingPlatformFleet(t)
 	got := f.send(0, http.MethodGet, "/one/a%2Fb?x=%20y", "key-a", "forwarded", "",
