Accept a new fleet's changes once the wanted number of control hosts votes

Cause: changes were accepted with a majority of the wanted voters (two of three). With two voters each commit rests on both disks; the other one has the configuration, but no quorum.

Ruled out: a change that was acknowledged before its sync, and a replica that lacks it (the other voter has it on its disk and can't be elected with one vote of two).

Change: a new leader accepts no changes while fewer replicas vote than wanted, for at most 2 s. A fleet with fewer hosts than that, or one that lost some for good, accepts changes then as before.

--- a/internal/controller/leadership.go
+++ b/internal/controller/leadership.go
@@ -28,6 +28,10 @@
 	membershipGatherTime = 3 * time.Second
 )
 
+// completionWait is how long a new leader accepts no changes while it has fewer voters than wanted. Hosts that start together join
+// within a second. A fleet that has fewer hosts, or lost some for good, accepts changes after this time.
+const completionWait = 2 * time.Second
+
 // bootstrapTerm is the term of the entry that bootstraps a fleet. The first leader has the next term.
 const bootstrapTerm = 1
 
--- a/internal/controller/proposal.go
+++ b/internal/controller/proposal.go
@@ -88,27 +88,33 @@
 	if !c.core.IsLeading(now) {
 		return c.notLeader()
 	}
-	if c.isBootstrapping() {
+	if c.isIncomplete(now) {
 		return &schema.Result{
 			Status:  schema.ResultStatus_RESULT_STATUS_NOT_LEADER,
-			Message: "the fleet is still being founded: too few of the named control hosts have joined; try again",
+			Message: "too few control hosts have joined to bear the loss of one; try again",
 		}
 	}
 	return nil
 }
 
-// isBootstrapping reports whether fewer replicas vote than a majority of the voters that the settings ask for.
-func (c *Controller) isBootstrapping() bool {
+// isIncomplete reports whether changes must wait for further voters. Fewer than a majority of the wanted voters accept none. A new
+// leader also waits for all of them, for a limited time: with fewer, a change may rest on every single disk.
+func (c *Controller) isIncomplete(now time.Time) bool {
 	voters := 0
-	for _, r := range c.core.Status().Replicas {
+	for _, r := range c.core.Replicas() {
 		if !r.GetLearner() {
 			voters++
 		}
 	}
-	if c.cfg.GetToleratedLosses() > 0 {
-		return voters < int(c.cfg.GetToleratedLosses())+1
+	wanted, majority := c.wantedVoters(), int(c.cfg.GetToleratedLosses())+1
+	if wanted == 0 {
+		if c.cfg.GetJoin() {
+			return false
+		}
+		wanted = len(c.cfg.GetPeers())
+		majority = wanted/2 + 1
 	}
-	return !c.cfg.GetJoin() && voters < len(c.cfg.GetPeers())/2+1
+	return voters < majority || voters < wanted && (c.leading == nil || now.Sub(c.leading.start) < completionWait)
 }
 
 func (c *Controller) notLeader() *schema.Result {
--- a/internal/runner/platform_test.go
+++ b/internal/runner/platform_test.go
@@ -9,6 +9,7 @@
 	"net"
 	"net/http"
 	"net/netip"
+	"os"
 	"runtime"
 	"strings"
 	"sync"
@@ -313,6 +314,13 @@
 // configuration.
 func (f *platformFleet) configure(replacements ...string) {
 	f.t.Helper()
+	text := f.configuration(replacements...)
+	waitUntil(f.t, "the configuration is acknowledged", func() bool { return f.post("http://"+f.seeds[0]+"/config/replace", text) == 200 })
+	f.version++
+}
+
+// configuration returns the next version of the configuration.
+func (f *platformFleet) configuration(replacements ...string) string {
 	text := fmt.Sprintf(`{"version":"r%d","baseVersion":"r%d","routes":{`+
 		`"zero":{"host":"a.example","pathPrefix":"/zero/","kind":"idempotent","service":"svc0",COMMON,"public":false},`+
 		`"one":{"host":"a.example","pathPrefix":"/one/","kind":"non_idempotent","service":"svc1",COMMON,"public":false},`+
@@ -322,9 +330,7 @@
 		`"tenants":{"school":{"apiKeys":["key-a","key-b"],"ratePerS":500,"burst":500},"tiny":{"apiKeys":["key-t"],"ratePerS":1,"burst":1}}}`,
 		f.version+1, f.version)
 	text = strings.ReplaceAll(text, "COMMON", `"timeoutS":1.5,"targetLatencyS":1,"priority":1,"maxAttempts":2`)
-	text = strings.NewReplacer(replacements...).Replace(text)
-	waitUntil(f.t, "the configuration is acknowledged", func() bool { return f.post("http://"+f.seeds[0]+"/config/replace", text) == 200 })
-	f.version++
+	return strings.NewReplacer(replacements...).Replace(text)
 }
 
 // send sends a request with the given request ID to a node.
@@ -625,6 +631,52 @@
 	}
 }
 
+// TestPlatformFirstConfigurationIsLostWithOneDisk guards against a first configuration that is acknowledged before enough control
+// hosts vote, and can't be read any more once the host that acknowledged it has lost its disk.
+func TestPlatformFirstConfigurationIsLostWithOneDisk(t *testing.T) {
+	f := startPlatformFleet(t)
+	text := f.configuration()
+	first := -1
+	waitUntil(t, "the first configuration is acknowledged", func() bool {
+		for i, seed := range f.seeds {
+			if f.postOnce("http://"+seed+"/config/replace", text) == http.StatusOK {
+				first = i
+				return true
+			}
+		}
+		return false
+	})
+	cfg := f.controls[first].control.cfg
+	if err := f.controls[first].control.Kill(); err != nil {
+		t.Fatal(err)
+	}
+	if err := os.RemoveAll(cfg.GetDataFolder()); err != nil {
+		t.Fatal(err)
+	}
+	cfg.FirstStart = false
+	f.controls[first] = f.start(&schema.Settings{TrustedNetwork: true, Control: cfg})
+	waitUntil(t, "the first configuration is read back", func() bool {
+		resp, err := http.Get("http://" + f.seeds[(first+1)%len(f.seeds)] + "/config/get")
+		if err != nil {
+			return false
+		}
+		defer func() { _ = resp.Body.Close() }()
+		data, err := io.ReadAll(resp.Body)
+		return err == nil && resp.StatusCode == http.StatusOK && string(data) == text
+	})
+}
+
+// postOnce is like post, but follows no redirect.
+func (f *platformFleet) postOnce(url, body string) int {
+	client := &http.Client{CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse }}
+	resp, err := client.Post(url, "application/json", strings.NewReader(body))
+	if err != nil {
+		return 0
+	}
+	_ = resp.Body.Close()
+	return resp.StatusCode
+}
+
 func TestPlatformReadConfigurationNeedsQuorum(t *testing.T) {
 	f := startServingPlatformFleet(t)
 	read := func(seed string) response {
