Send a target that begins with two slashes to the upstream unchanged

Cause: url.URL puts the scheme in front of an opaque target with two slashes, so requestURL put it into Path, which holds the decoded form and is escaped when it is written.

Ruled out: the entry node (it passes the raw target on) and the hop between nodes (its target begins with the service's name).

Change: the target is always opaque, and package exchanger writes the request line of such a target itself.

--- a/internal/exchanger/exchange.go
+++ b/internal/exchanger/exchange.go
@@ -119,7 +119,12 @@
 }
 
 func (c *conn) write(req *http.Request) error {
-	if err := req.Write(c.writer); err != nil {
+	var w io.Writer = c.writer
+	if target := req.URL.Opaque; strings.HasPrefix(target, "//") {
+		// net/http would put the scheme in front of the target.
+		w = &requestLineWriter{Writer: c.writer, line: req.Method + " " + target + " HTTP/1.1\r\n"}
+	}
+	if err := req.Write(w); err != nil {
 		return err
 	}
 	return c.writer.Flush()
--- a/internal/forwarder/adapter.go
+++ b/internal/forwarder/adapter.go
@@ -83,13 +83,7 @@
 	return r.URL.RequestURI()
 }
 
-// requestURL returns a URL that net/http sends with the target unchanged.
+// requestURL returns a URL with which net/http and package exchanger send the target unchanged.
 func requestURL(scheme, host, target string) *url.URL {
-	u := &url.URL{Scheme: scheme, Host: host, Opaque: target}
-	if strings.HasPrefix(target, "//") {
-		// A leading // in an opaque URL would be parsed as a host.
-		u.Opaque = ""
-		u.Path, u.RawQuery, _ = strings.Cut(target, "?")
-	}
-	return u
+	return &url.URL{Scheme: scheme, Host: host, Opaque: target}
 }
--- a/internal/runner/platform_test.go
+++ b/internal/runner/platform_test.go
@@ -571,6 +571,65 @@
 	<-ctx.Done()
 }
 
+// TestPlatformTargetReachesUpstreamChanged guards against a path or query that reaches the upstream with other bytes than the caller
+// sent.
+func TestPlatformTargetReachesUpstreamChanged(t *testing.T) {
+	f := startServingPlatformFleet(t)
+	f.configure(`"routes":{`, `"routes":{"root":{"host":"a.example","pathPrefix":"/","kind":"idempotent","service":"svc0",`+
+		`"timeoutS":1.5,"targetLatencyS":1,"priority":1,"maxAttempts":2,"public":true},`)
+	for node := range f.nodes {
+		waitUntil(t, "the route is in force", func() bool {
+			view := f.nodes[node].node.syncer.View()
+			return view != nil && view.HostRoute("a.example", "/") != nil
+		})
+	}
+	targets := []string{
+		"/", "//", "///a//b//", "//words/%E0%A6%95%20N?lang=bn%2Den", "//host/a?b", "//?//", "/a%2Fb%2fc", "/%41%61",
+		"/./a/../b/.", "//../a", "/a;b=c", "/a?b?c", "/a?", "//a?", "/a?b=%20+c&&=", "/[]{}|^`\"<>", "//[]{}|^`\"<>", "/\xc3\xa9", "//\xc3\xa9",
+		"/a:b@c", "//a:b@c:80/", "/*", "/a=b,c!d$e'f(g)", "//a=b,c!d$e'f(g)",
+	}
+	for i, target := range targets {
+		for node := range f.nodes {
+			got, status := f.sendTarget(node, target, fmt.Sprintf("target-%d-%d", i, node))
+			if got != target || status != http.StatusOK {
+				t.Errorf("node %d: %q reached the upstream as %q, status %d", node, target, got, status)
+			}
+		}
+	}
+}
+
+// TestPlatformBadEscapeRunsNowhere checks that a target that is no valid URL gets 400.
+func TestPlatformBadEscapeRunsNowhere(t *testing.T) {
+	f := startServingPlatformFleet(t)
+	for i, target := range []string{"/zero/%zz", "//%zz", "/zero/a%", "zero/a", "/zero/\x01"} {
+		if read, status := f.sendTarget(i%2, target, fmt.Sprint("bad-", i)); status != http.StatusBadRequest || read != "" {
+			t.Errorf("%q: status %d, reached the upstream as %q", target, status, read)
+		}
+	}
+}
+
+// sendTarget sends a request with an unchanged target on a connection of its own. It returns the target that the upstream read, if it
+// ran the request, and the status.
+func (f *platformFleet) sendTarget(node int, target, id string) (read string, status int) {
+	f.t.Helper()
+	c, err := net.Dial("tcp", f.nodes[node].node.CallerAddr().String())
+	if err != nil {
+		f.t.Fatal(err)
+	}
+	defer func() { _ = c.Close() }()
+	_ = c.SetDeadline(time.Now().Add(5 * time.Second))
+	fmt.Fprintf(c, "GET %s HTTP/1.1\r\nHost: a.example\r\nX-Attempt-Id: %s\r\nX-Deadline-Ms: 4000\r\n\r\n", target, id)
+	resp, err := http.ReadResponse(bufio.NewReader(c), nil)
+	if err != nil {
+		f.t.Fatalf("%q: %v", target, err)
+	}
+	_ = resp.Body.Close()
+	if w := f.workers[0]; w.runCount(id) == 1 {
+		read = w.lastRequest().RequestURI
+	}
+	return read, resp.StatusCode
+}
+
 func TestPlatformForwardedRequest(t *testing.T) {
 	f := startServingPlatformFleet(t)
 	got := f.send(0, http.MethodGet, "/one/a%2Fb?x=%20y", "key-a", "forwarded", "",
