Let a heartbeat without a start time or sequence not replace one that has them

Cause: a zero start time or sequence meant that the heartbeat is not ordered, and then every such heartbeat counted as the newest.

Ruled out: refusing them. The protocol's example of a heartbeat has no start time, so upstreams may send none at all.

Change: what can't be ordered counts as older than what can. Among themselves, heartbeats without these fields work as before.

--- a/internal/announcer/announcer.go
+++ b/internal/announcer/announcer.go
@@ -338,21 +338,32 @@
 }
 
 // isOutdated reports whether a heartbeat is older than the known state: it is from an instance that left or was replaced,
-// or it arrived after a later heartbeat of its instance. An instance that has announced its departure does not return.
+// or it arrived after a later heartbeat of its instance. An instance that has announced its departure does not return. A heartbeat
+// without a start time or a sequence can't be ordered, and counts as older than one that has them.
 func (a *Announcer) isOutdated(msg Announcement, up *Upstream) bool {
 	if d, ok := a.departures[msg.Instance]; ok && msg.Instance != "" && !msg.Began.After(d.began) {
 		return true
 	}
-	if e, ok := a.expiries[msg.Instance]; ok && msg.Began.Equal(e.began) && msg.Sequence != 0 && msg.Sequence <= e.sequence {
+	if e, ok := a.expiries[msg.Instance]; ok && isOlder(msg, e.began, e.sequence) {
 		return true
 	}
-	if up == nil || msg.Began.IsZero() {
+	switch {
+	case up == nil:
 		return false
+	case up.Instance == msg.Instance:
+		return isOlder(msg, up.began, up.sequence)
+	default:
+		return msg.Began.Before(up.began)
 	}
-	if up.Instance == msg.Instance && up.began.Equal(msg.Began) {
-		return msg.Sequence != 0 && msg.Sequence <= up.sequence
+}
+
+// isOlder reports whether a heartbeat is not later than one of the same instance with the given start time and sequence. Heartbeats
+// that are not numbered are never older than one another.
+func isOlder(msg Announcement, began time.Time, sequence uint64) bool {
+	if !msg.Began.Equal(began) {
+		return msg.Began.Before(began)
 	}
-	return msg.Began.Before(up.began)
+	return sequence != 0 && msg.Sequence <= sequence
 }
 
 func validate(msg Announcement) (netip.AddrPort, schema.UpstreamState, error) {
