Compact the log of the control hosts by its size, not only by its entries

Each entry of a full configuration holds the whole document. All entries are in memory, and in the file that is mapped into it.

Ruled out: the state itself (it holds one document and the digests of 10,000), and stored results (a replaced configuration has none).

A call to another replica carries about 1 MB of entries at most, in place of 64 messages of any size.

--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -30,8 +30,10 @@
 	maxBatch = 512
 	// maxBatchTime bounds the time for which ticks and messages of other replicas wait behind a batch.
 	maxBatchTime = 5 * time.Millisecond
-	// compactionThreshold is the number of log entries at which the log is compacted.
+	// compactionThreshold is the number of log entries at which the log is compacted, and compactionBytes their size. The log is
+	// kept in memory and, with the free pages of its file, on disk; both are a few hundred MB.
 	compactionThreshold = 5000
+	compactionBytes     = 8 << 20
 	// stopTimeout bounds the leadership transfer before a planned stop.
 	stopTimeout = time.Second
 )
@@ -367,7 +369,7 @@
 }
 
 func (c *Controller) compact() error {
-	if c.core.AppliedSinceSnapshot() < compactionThreshold {
+	if entries, bytes := c.core.AppliedSinceSnapshot(); entries < compactionThreshold && bytes < compactionBytes {
 		return nil
 	}
 	snap := c.core.Compact(c.core.Status().Applied, c.machine.Snapshot())
--- a/internal/controller/replica_sender.go
+++ b/internal/controller/replica_sender.go
@@ -16,8 +16,9 @@
 	// senderQueueSize bounds the messages queued for one replica. Messages beyond it are dropped, which the replication
 	// protocol tolerates.
 	senderQueueSize = 1024
-	// maxSenderBatch bounds the messages in one call.
+	// maxSenderBatch bounds the messages in one call, and maxSenderBytes the entries in them.
 	maxSenderBatch = 64
+	maxSenderBytes = 1 << 20
 	// stepTimeout bounds the duration of a call, snapshotTimeout that of a call with a snapshot.
 	stepTimeout     = 500 * time.Millisecond
 	snapshotTimeout = 10 * time.Second
@@ -107,13 +108,15 @@
 	}
 }
 
-// collectBatch returns m and the messages queued behind it, up to maxSenderBatch.
+// collectBatch returns m and the messages queued behind it, up to maxSenderBatch and some more than maxSenderBytes.
 func (s *replicaSender) collectBatch(m *schema.ReplicaMessage) []*schema.ReplicaMessage {
 	batch := []*schema.ReplicaMessage{m}
-	for len(batch) < maxSenderBatch {
+	size := entryBytes(m)
+	for len(batch) < maxSenderBatch && size < maxSenderBytes {
 		select {
 		case m = <-s.queue:
 			batch = append(batch, m)
+			size += entryBytes(m)
 		default:
 			return batch
 		}
@@ -121,6 +124,14 @@
 	return batch
 }
 
+func entryBytes(m *schema.ReplicaMessage) int {
+	size := 0
+	for _, e := range m.GetEntries() {
+		size += len(e.GetData())
+	}
+	return size
+}
+
 // send makes one call and ignores its error: the replication protocol resends lost messages.
 func (s *replicaSender) send(ctx context.Context, batch []*schema.ReplicaMessage) {
 	limit := stepTimeout
--- a/internal/replicator/append.go
+++ b/internal/replicator/append.go
@@ -174,7 +174,7 @@
 	}
 	c.log.reset(s)
 	c.sets = newReplicaSets(s, nil)
-	c.commit, c.applied = s.GetIndex(), s.GetIndex()
+	c.commit, c.applied, c.appliedBytes = s.GetIndex(), s.GetIndex(), 0
 	c.lastSynced, c.firstUnsaved = s.GetIndex(), s.GetIndex()+1
 	c.installedSnapshot = s
 	c.hardStateDirty = true
--- a/internal/replicator/core.go
+++ b/internal/replicator/core.go
@@ -34,6 +34,8 @@
 	// trailingEntries is the number of entries kept before a snapshot's index, so that a replica that lags slightly
 	// needs no snapshot.
 	trailingEntries = 2000
+	// trailingBytes bounds the size of these entries.
+	trailingBytes = 2 << 20
 	// contactTimeout is the time without a reply after which a replica is unresponsive. It covers five heartbeats to a voter and
 	// two to a learner.
 	contactTimeout = learnerInterval + ElectionTimeout
@@ -107,6 +109,7 @@
 	transferStart    time.Time
 
 	applied           uint64
+	appliedBytes      int // size of the entries applied since the newest snapshot
 	hardStateDirty    bool
 	firstUnsaved      uint64 // first index that was not yet part of an Output
 	lastSynced        uint64
@@ -306,6 +309,9 @@
 	c.firstUnsaved = c.log.lastIndex() + 1
 	if c.applied < c.commit {
 		o.Committed = c.log.between(c.applied+1, c.commit)
+		for _, e := range o.Committed {
+			c.appliedBytes += len(e.GetData())
+		}
 		c.applied = c.commit
 	}
 	return o
@@ -339,15 +345,16 @@
 }
 
 // Compact makes a snapshot of the given state at an applied index and drops the entries that precede the index by more
-// than trailingEntries. It returns the snapshot, which the caller must save.
+// than trailingEntries or trailingBytes. It returns the snapshot, which the caller must save.
 func (c *Core) Compact(index uint64, state []byte) *schema.Snapshot {
 	s := &schema.Snapshot{Index: index, Term: c.log.term(index), Replicas: c.sets.at(index), State: state}
 	c.log.compact(s)
+	c.appliedBytes = 0
 	c.sets.compact(index)
 	return s
 }
 
-// AppliedSinceSnapshot returns the number of applied entries after the newest snapshot.
-func (c *Core) AppliedSinceSnapshot() uint64 {
-	return c.applied - c.log.snapshot.GetIndex()
+// AppliedSinceSnapshot returns the number of applied entries after the newest snapshot, and their size in bytes.
+func (c *Core) AppliedSinceSnapshot() (entries uint64, bytes int) {
+	return c.applied - c.log.snapshot.GetIndex(), c.appliedBytes
 }
--- a/internal/replicator/entry_log.go
+++ b/internal/replicator/entry_log.go
@@ -91,13 +91,20 @@
 	*l = entryLog{snapshot: s, baseIndex: s.GetIndex(), baseTerm: s.GetTerm()}
 }
 
-// compact replaces the snapshot with a newer one and drops the entries that precede it by more than trailingEntries.
+// compact replaces the snapshot with a newer one and drops the entries that precede it by more than trailingEntries or
+// trailingBytes.
 func (l *entryLog) compact(s *schema.Snapshot) {
 	l.snapshot = s
-	if s.GetIndex() <= l.baseIndex+trailingEntries {
+	base := s.GetIndex()
+	for size := 0; base > l.baseIndex && s.GetIndex()-base < trailingEntries; base-- {
+		size += len(l.entries[base-l.baseIndex-1].GetData())
+		if size > trailingBytes {
+			break
+		}
+	}
+	if base == l.baseIndex {
 		return
 	}
-	base := s.GetIndex() - trailingEntries
 	baseTerm := l.term(base)
 	l.entries = append([]*schema.LogEntry(nil), l.entries[base-l.baseIndex:]...)
 	l.baseIndex, l.baseTerm = base, baseTerm
--- a/internal/replicator/random_test.go
+++ b/internal/replicator/random_test.go
@@ -142,7 +142,7 @@
 			c.acknowledged = max(c.acknowledged, e.GetIndex())
 		}
 	}
-	if h.core.AppliedSinceSnapshot() > 40 && c.random.IntN(3) == 0 {
+	if entries, _ := h.core.AppliedSinceSnapshot(); entries > 40 && c.random.IntN(3) == 0 {
 		snap := h.core.Compact(h.core.applied, []byte("state"))
 		h.disk.Snapshot = snap
 		for len(h.disk.Entries) > 0 && h.disk.Entries[0].GetIndex() <= snap.GetIndex() {
