--- a/internal/announcer/confirm_test.go
+++ b/internal/announcer/confirm_test.go
@@ -29,7 +29,10 @@
 		{"confirmed", 0, func(a *Announcer) { a.Confirm(late) }, "i-1", true},
 		{"rejected", 0, func(a *Announcer) { a.Reject(late); a.Confirm(late) }, "", true},
 		{"left before the confirmation", 0, func(a *Announcer) { a.RemoveInstance("i-1", late.Began); a.Confirm(late) }, "", true},
-		{"drained before the confirmation", 0, func(a *Announcer) { _ = a.Announce(heartbeat("i-1", 5, 8, "draining")); a.Confirm(late) }, "", true},
+		{"drained before the confirmation", 0, func(a *Announcer) {
+			_ = a.Announce(heartbeat("i-1", 5, 8, "draining"))
+			a.Confirm(late)
+		}, "", true},
 		{"later heartbeat confirmed", 0, func(a *Announcer) {
 			next := heartbeat("i-1", 5, 8, "ready")
 			_ = a.Announce(next)
--- a/internal/replicator/membership_test.go
+++ b/internal/replicator/membership_test.go
@@ -29,7 +29,9 @@
 		{"wanted number of voters reached", []member{voter(1, "a", 0), voter(2, "b", 0), voter(3, "c", 0), standby(4, "d")}, 3, 0, 0},
 		{"all replicas vote", []member{voter(1, "a", 0), voter(2, "b", 0), voter(3, "c", 0), standby(4, "d")}, 0, promote, 4},
 		{"unresponsive voter, standby", []member{voter(1, "a", 0), voter(2, "b", late), voter(3, "c", 0), standby(4, "d")}, 3, promote, 4},
-		{"standby promoted for an unresponsive voter", []member{voter(1, "a", 0), voter(2, "b", late), voter(3, "c", 1), voter(4, "d", 0)}, 3, remove, 2},
+		{"standby promoted for an unresponsive voter", []member{
+			voter(1, "a", 0), voter(2, "b", late), voter(3, "c", 1), voter(4, "d", 0),
+		}, 3, remove, 2},
 		{"voter at the time limit", []member{voter(1, "a", 0), voter(2, "b", replaceReplicaAfter), voter(3, "c", 0), standby(4, "d")}, 3, 0, 0},
 		{"standby replaces a removed voter", []member{voter(1, "a", 0), voter(3, "c", 0), standby(4, "d")}, 3, promote, 4},
 		{"unresponsive voter, no standby", []member{voter(1, "a", 0), voter(2, "b", late), voter(3, "c", 0)}, 3, 0, 0},
