--- a/internal/forwarder/forwarder.go
+++ b/internal/forwarder/forwarder.go
@@ -181,14 +181,6 @@
 	f.Timer.AfterFunc(f.remaining(end), func() { f.endStop(errStopEnds) })
 }
 
-// StopEnd returns the end that RefuseBeyond has set, or the zero time.
-func (f *Forwarder) StopEnd() time.Time {
-	if end := f.stopEnd.Load(); end != nil {
-		return *end
-	}
-	return time.Time{}
-}
-
 // outlastsStop reports whether a call may still be in progress when the node's stop ends: by its deadline, or for a call of the
 // local upstream, on which a request in progress depends, by the usual time of its route.
 func (f *Forwarder) outlastsStop(c *call) bool {
--- a/internal/forwarder/root.go
+++ b/internal/forwarder/root.go
@@ -41,9 +41,10 @@
 		cancelCause(nil)
 		cancelDeadline()
 	}
-	release := context.AfterFunc(f.stopped, func() { cancelCause(errStopEnds) })
+	keepBeyondStop := context.AfterFunc(f.stopped, func() { cancelCause(errStopEnds) })
 	resp, ref := f.admitRootCall(ctx, req.IdempotencyKey, caller, &c.call)
-	release()
+	// A response that has begun is not broken off before its connection closes.
+	keepBeyondStop()
 	ref = setRetryAfter(ref, &c.call)
 	f.recordForBurnReport(&c.call, resp, ref, f.Timer.Since(start))
 	f.logEnd(&c.call, resp, ref, start)
--- a/internal/runner/platform_test.go
+++ b/internal/runner/platform_test.go
@@ -1029,10 +1029,13 @@
 	})
 }
 
-// stopSoon starts the stop of a node whose upstream is at work, and returns once the node refuses requests that would outlast it.
-func (f *platformFleet) stopSoon(group *sync.WaitGroup) {
+// stopSoon starts the stop of a node whose upstream is at work, and returns once the node refuses requests that would outlast it. It
+// returns the time at which requests in progress are answered.
+func (f *platformFleet) stopSoon(group *sync.WaitGroup) time.Time {
+	const limit = leaveNoticeTime + 1500*time.Millisecond
 	node := f.nodes[0].node
-	node.cfg.StopLimit = durationpb.New(leaveNoticeTime + 1500*time.Millisecond)
+	node.cfg.StopLimit = durationpb.New(limit)
+	end := time.Now().Add(limit - sendMargin)
 	group.Go(func() {
 		// The servers may take longer to close than the stop's limit, which cuts nothing.
 		_ = node.Stop()
@@ -1043,6 +1046,7 @@
 	waitUntil(f.t, "the upstream drains", func() bool {
 		return f.send(1, http.MethodGet, "/zero/x", "key-a", "drained", "").status == http.StatusServiceUnavailable
 	})
+	return end
 }
 
 // TestStopEndsRequestsWithoutAnswer guards against a planned stop at whose end requests in progress are cut without an answer,
@@ -1086,8 +1090,7 @@
 	var group sync.WaitGroup
 	group.Go(func() { f.send(0, http.MethodGet, "/zero/unresponsive", "key-a", "long", "", "X-Deadline-Ms", "8000") })
 	waitUntil(t, "the upstream is at work", func() bool { return f.workers[0].runCount("long") == 1 })
-	f.stopSoon(&group)
-	end := f.nodes[0].node.forwarder.StopEnd()
+	end := f.stopSoon(&group)
 	time.Sleep(time.Until(end.Add(-slowResponse / 2)))
 	late := nested("late")
 	if ran := f.workers[1].runCount("late"); late.status != http.StatusServiceUnavailable || ran != 0 {
