Refuse the instance of a health check's answer when it can't be reported to the control hosts

A node that starts beside a running upstream registers the instance that its health check names. With bytes that are not UTF-8 in it, every exchange of the node with the control hosts failed, its certificate expired, and it answered 503 notReady to all requests with keys, also those to other upstreams.

Cause: heartbeats were checked for the instance's characters and length, the answers to health checks were not. The reports of upstreams are protobuf strings, which can't hold other bytes than UTF-8.

Ruled out: the control hosts (the report fails to encode on the node and never leaves it); heartbeats (a fuzz test covers them).

Change: the check is part of validate, which Announce, Confirm and Adopt share.

--- a/internal/announcer/adopt_test.go
+++ b/internal/announcer/adopt_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/netip"
+	"strings"
 	"testing"
 	"time"
 
@@ -59,7 +60,7 @@
 	}
 }
 
-// TestAdoptRefused checks that Adopt refuses an instance that left or has no slots, and a second upstream of a service.
+// TestAdoptRefused checks that Adopt refuses an instance that left, has no slots or can't be reported, and a second upstream of a service.
 func TestAdoptRefused(t *testing.T) {
 	addr := testAddress
 	a := New(timer.New(), nil)
@@ -70,6 +71,11 @@
 	if a.Adopt("s", addr, "i-2", 0) == nil {
 		t.Error("an instance without slots was adopted")
 	}
+	for _, instance := range []string{"i-\xff", "i 2", "i/2", "i\x00", strings.Repeat("i", maxInstanceBytes+1)} {
+		if a.Adopt("s", addr, instance, 8) == nil {
+			t.Errorf("instance %.20q was adopted", instance)
+		}
+	}
 	if err := a.Adopt("s", addr, "i-2", 8); err != nil {
 		t.Fatal(err)
 	}
--- a/internal/announcer/announcer.go
+++ b/internal/announcer/announcer.go
@@ -374,6 +374,9 @@
 	if !resolver.IsName(msg.Service) {
 		return addr, 0, errors.Errorf("bad service %q, want lower-case letters, digits and dashes", msg.Service)
 	}
+	if !isInstance(msg.Instance) {
+		return addr, 0, errors.Errorf("bad instance %.20q, want at most %d letters, digits and . _ : ~ -", msg.Instance, maxInstanceBytes)
+	}
 	if msg.Slots < 1 || msg.Slots > maxSlots {
 		return addr, 0, errors.Errorf("bad slots %d, want 1 to %d", msg.Slots, maxSlots)
 	}
@@ -396,8 +399,6 @@
 // upstream would count as outdated.
 func (a *Announcer) validateOrder(msg Announcement) error {
 	switch {
-	case !isInstance(msg.Instance):
-		return errors.Errorf("bad instance %.20q, want at most %d letters, digits and . _ : ~ -", msg.Instance, maxInstanceBytes)
 	case msg.Sequence > maxSequence:
 		return errors.Errorf("bad sequence %d, want at most %d", msg.Sequence, maxSequence)
 	case !msg.Began.IsZero() && (msg.Began.Unix() < 0 || msg.Began.After(a.timer.Now().Add(maxBeganAhead))):
