Pass on requests whose ID is not in UTF-8

A request with other bytes than UTF-8 in X-Attempt-Id got 503 notReady from every node but the one beside the upstream, however often it was sent again.

Ruled out: the other strings of the token: service, route, account and key come from the settings, the instance is checked, and a host must equal one of the configuration.

Change: the field holds bytes. Its encoding on the wire is that of a string, so nodes of either version understand each other.

Evidence: TestPlatformOddRequestIDRefusedByOtherNodes failed before ("through node 0: status 503 ... notReady, ran 0 times") and passes now.

--- a/internal/forwarder/attempt.go
+++ b/internal/forwarder/attempt.go
@@ -230,7 +230,7 @@
 		Service:         c.route.Service,
 		Route:           c.route.Name,
 		Rerouted:        c.rerouted,
-		CallerId:        c.callerRequestID,
+		CallerId:        []byte(c.callerRequestID),
 		Origin:          c.origin,
 		Host:            c.host,
 		Instance:        t.Instance(),
--- a/internal/forwarder/peer.go
+++ b/internal/forwarder/peer.go
@@ -99,7 +99,7 @@
 		idempotent:       token.GetIdempotent(),
 		depth:            token.GetDepth(),
 		rerouted:         token.GetRerouted(),
-		callerRequestID:  token.GetCallerId(),
+		callerRequestID:  string(token.GetCallerId()),
 		origin:           token.GetOrigin(),
 		host:             token.GetHost(),
 		maxWait:          time.Duration(token.GetPatienceMicros()) * time.Microsecond,
