Record orders whose response has a header that is not in UTF-8

An order with an Idempotency-Key ran, and its response had a header value in Latin-1. From then on the same key got 409 inProgress for 24 h, through any node.

The response is recorded with the claim; it could not be encoded, and the claim stayed open.

Ruled out: names of headers (package exchanger accepts tokens only); the body is bytes.

Change: the value of a stored header holds bytes.

Evidence: TestOddResponseHeaderLeavesOrderInProgress failed before ("sent again through node 0: 409 ... inProgress", the same through all four nodes) and passes now.

--- a/internal/forwarder/claim.go
+++ b/internal/forwarder/claim.go
@@ -109,7 +109,7 @@
 			if size += len(name) + len(v); size > maxStoredHeaderBytes {
 				return out
 			}
-			out = append(out, &schema.Header{Name: name, Value: v})
+			out = append(out, &schema.Header{Name: name, Value: []byte(v)})
 		}
 	}
 	return out
@@ -118,7 +118,7 @@
 func storedResponse(stored *schema.Answer) *response {
 	h := http.Header{}
 	for _, header := range stored.GetHeaders() {
-		h.Add(header.GetName(), header.GetValue())
+		h.Add(header.GetName(), string(header.GetValue()))
 	}
 	h.Set(refuser.HeaderOutcome, string(refuser.AlreadyRun))
 	h.Set(refuser.HeaderReason, string(refuser.Settled))
--- /dev/null
+++ b/internal/runner/odd_claim_test.go
@@ -0,0 +1,30 @@
+package runner
+
+import (
+	"fmt"
+	"net/http"
+	"testing"
+)
+
+// TestOddResponseHeaderLeavesOrderInProgress guards against orders that ran and are answered 409 inProgress from then on, because
+// their response has a header that is not in UTF-8.
+func TestOddResponseHeaderLeavesOrderInProgress(t *testing.T) {
+	f := startFleet(t, twoServiceFleet())
+	const name = "Caf\xe9"
+	replaceResponder(t, f, "back", func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set("X-Name", name)
+		fmt.Fprint(w, "ordered")
+	}, nil)
+	order := func(w *FleetWorker) response {
+		return send(t.Context(), w, f.Keys[0].Key, http.MethodPost, "/back/order", "40", "Idempotency-Key", "deposit-1")
+	}
+	if r := order(f.Workers[0]); r.status != http.StatusOK || r.header.Get("X-Name") != name {
+		t.Fatalf("the order: %d %v %q", r.status, r.err, r.header.Get("X-Name"))
+	}
+	for i, w := range f.Workers {
+		r := order(w)
+		if r.status != http.StatusOK || r.body != "ordered" || r.header.Get("X-Name") != name || r.header.Get("Lavenderhub-Outcome") != "alreadyRun" {
+			t.Errorf("sent again through node %d: %d %v %s", i, r.status, r.err, r.body)
+		}
+	}
+}
