Refuse an Idempotency-Key that is not in UTF-8 at once

A request with such a key was held until its deadline (12 s in the test) and got 503 notReady, whose Retry-After invites it back. Meanwhile the node asked for an exchange with the control hosts 20 times a second.

Cause: the claim could not be encoded, and calls to the leader are repeated until their context ends, whatever the error.

Ruled out: recording such keys as bytes. Keys are text in the interface of administrators and in logs; a clear 400 serves callers better.

Change: the check of keys refuses it with 400.

Evidence: TestOddIdempotencyKeyHangs failed before ("503 ... after 12.001742491s; want 400 at once") and passes now.

--- a/internal/forwarder/claim.go
+++ b/internal/forwarder/claim.go
@@ -9,6 +9,7 @@
 	"strconv"
 	"strings"
 	"time"
+	"unicode/utf8"
 
 	"github.com/lavenderhub/lavenderhub/internal/applier"
 	"github.com/lavenderhub/lavenderhub/internal/authenticator"
@@ -48,11 +49,14 @@
 	return resp, ref
 }
 
-// checkIdempotencyKey refuses keys that are too long, and version 7 UUIDs older than the retention of claims.
+// checkIdempotencyKey refuses keys that are too long or not in UTF-8, and version 7 UUIDs older than the retention of claims.
 func (f *Forwarder) checkIdempotencyKey(key string) *refuser.Refusal {
 	if len(key) > maxIdempotencyKey {
 		return badRequest("the Idempotency-Key is longer than " + strconv.Itoa(maxIdempotencyKey) + " bytes")
 	}
+	if !utf8.ValidString(key) {
+		return badRequest("the Idempotency-Key is not in UTF-8")
+	}
 	created, ok := uuidTime(key)
 	if ok && f.Timer.Now().Sub(created) > applier.ClaimRetention {
 		return refuser.New(refuser.NotRun, refuser.IdempotencyKeyExpired, "the Idempotency-Key is older than "+applier.ClaimRetention.String())
--- a/internal/runner/odd_claim_test.go
+++ b/internal/runner/odd_claim_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"net/http"
 	"testing"
+	"time"
 )
 
 // TestOddResponseHeaderLeavesOrderInProgress guards against orders that ran and are answered 409 inProgress from then on, because
@@ -28,3 +29,17 @@
 		}
 	}
 }
+
+// TestOddIdempotencyKeyHangs guards against requests that are held until their deadline because their Idempotency-Key can't be
+// reported to the control hosts.
+func TestOddIdempotencyKeyHangs(t *testing.T) {
+	f := startFleet(t, twoServiceFleet())
+	begin := time.Now()
+	r := send(t.Context(), f.Workers[0], f.Keys[0].Key, http.MethodPost, "/back/order?id=odd", "40", "Idempotency-Key", "deposit-\xff")
+	if r.status != http.StatusBadRequest || time.Since(begin) > time.Second {
+		t.Errorf("%d %v %s after %v; want 400 at once", r.status, r.err, r.body, time.Since(begin))
+	}
+	if n := f.Executions["back"].Stats(http.MethodPost).Requests; n != 0 {
+		t.Errorf("%d requests ran", n)
+	}
+}
