--- a/internal/replicator/second_loss_test.go
+++ b/internal/replicator/second_loss_test.go
@@ -1,6 +1,7 @@
 package replicator
 
 import (
+	"slices"
 	"testing"
 	"time"
 )
@@ -65,12 +66,21 @@
 			c.t.Fatalf("no leader to restart: %s", c.describe())
 		}
 	}
-	h.core = nil
-	c.runUntil(c.now + restartPause)
-	c.start(h)
+	c.restart(h)
 	return h
 }
 
+// restart kills hosts at the same time and starts them again after restartPause.
+func (c *cluster) restart(hosts ...*simulatedHost) {
+	for _, h := range hosts {
+		h.core = nil
+	}
+	c.runUntil(c.now + restartPause)
+	for _, h := range hosts {
+		c.start(h)
+	}
+}
+
 // TestLeaderChangeBetweenTwoLostDisksEndsControl guards against control hosts that never elect a leader again: the leader is
 // killed while a host without its disk is being replaced, and loses its own disk after that host has had catchUpLimit.
 func TestLeaderChangeBetweenTwoLostDisksEndsControl(t *testing.T) {
@@ -126,22 +136,31 @@
 }
 
 // TestLeaderChangeAfterRemovedHostEndsControl guards against the same loss when the first host is replaced by one with another
-// name: a new leader does not wait for the removed host anew.
+// name: a new leader does not wait for the removed host anew, whether the leader alone or all older hosts are killed.
 func TestLeaderChangeAfterRemovedHostEndsControl(t *testing.T) {
-	for killAfter := 600 * time.Millisecond; killAfter < catchUpLimit; killAfter += 400 * time.Millisecond {
-		c := newCalmCluster(t, uint64(killAfter), 4, 3)
-		start, acknowledged := c.now, c.acknowledged
-		c.loseDisk(c.leader())
-		c.runUntil(start + restartPause)
-		successor := &simulatedHost{name: "successor", startTime: time.Unix(9000, 0), drift: 1}
-		c.hosts = append(c.hosts, successor)
-		c.initializeDisk(successor)
-		c.runUntil(start + killAfter)
-		second := c.restartLeader()
-		c.runUntil(max(c.now, start+restartPause+catchUpLimit+timeStep))
-		c.loseDisk(second)
-		c.runUntil(c.now + restartPause)
-		c.start(second)
-		c.checkServes(acknowledged)
+	for _, killAll := range []bool{false, true} {
+		for killAfter := 600 * time.Millisecond; killAfter < catchUpLimit; killAfter += 400 * time.Millisecond {
+			c := newCalmCluster(t, uint64(killAfter), 4, 3)
+			start, acknowledged := c.now, c.acknowledged
+			removed := c.leader()
+			older := slices.DeleteFunc(slices.Clone(c.hosts), func(h *simulatedHost) bool { return h == removed })
+			c.loseDisk(removed)
+			c.runUntil(start + restartPause)
+			successor := &simulatedHost{name: "successor", startTime: time.Unix(9000, 0), drift: 1}
+			c.hosts = append(c.hosts, successor)
+			c.initializeDisk(successor)
+			c.runUntil(start + killAfter)
+			second := older[0]
+			if killAll {
+				c.restart(older...)
+			} else {
+				second = c.restartLeader()
+			}
+			c.runUntil(max(c.now, start+restartPause+catchUpLimit+timeStep))
+			c.loseDisk(second)
+			c.runUntil(c.now + restartPause)
+			c.start(second)
+			c.checkServes(acknowledged)
+		}
 	}
 }
