--- a/internal/announcer/announcer.go
+++ b/internal/announcer/announcer.go
@@ -2,9 +2,6 @@
 package announcer
 
 import (
-	"encoding/json"
-	"io"
-	"net/http"
 	"net/netip"
 	"slices"
 	"strings"
@@ -16,8 +13,6 @@
 	"github.com/lavenderhub/lavenderhub/internal/admitter"
 	"github.com/lavenderhub/lavenderhub/internal/asserter"
 	"github.com/lavenderhub/lavenderhub/internal/exchanger"
-	"github.com/lavenderhub/lavenderhub/internal/refuser"
-	"github.com/lavenderhub/lavenderhub/internal/resolver"
 	"github.com/lavenderhub/lavenderhub/internal/timer"
 	"github.com/lavenderhub/lavenderhub/schema"
 )
@@ -27,41 +22,8 @@
 	Path = "/lavenderhub/v1/upstreams"
 	// HeartbeatTimeout is how long an upstream remains registered after its last heartbeat.
 	HeartbeatTimeout = 2 * time.Second
-	// departureRetention is how long an instance that left is remembered. Heartbeats are delayed by a few seconds at most.
-	departureRetention = time.Minute
-	// maxBeganAhead is how far the start of an instance may be ahead of this host's clock.
-	maxBeganAhead = 24 * time.Hour
-	// maxSequence is the greatest integer that every JSON number can hold exactly.
-	maxSequence = 1 << 53
-	// maxInstanceBytes bounds the length of an instance's identifier.
-	maxInstanceBytes = 128
-	// maxSlots bounds the slots that an upstream may announce.
-	maxSlots = 100000
-	// maxBody bounds the size of an announcement in bytes.
-	maxBody = 4096
-	// maxDepartures bounds the instances that left and are remembered.
-	maxDepartures = 1024
 )
 
-// Announcement is the body of an upstream's heartbeat.
-type Announcement struct {
-	Service string `json:"service"`
-	Address string `json:"address"`
-	Slots   int    `json:"slots"`
-	// State is ready, starting or draining.
-	State string `json:"state"`
-	// Load is the upstream's own measure of its load, from 0 to 1. It is advisory.
-	Load float64 `json:"load,omitempty"`
-	// Instance identifies the running instance of the upstream. A later instance at the same address has another
-	// identifier or a later Began.
-	Instance string `json:"instance,omitempty"`
-	// Began is the start time of the instance. Heartbeats of instances that began before the current one are ignored.
-	Began time.Time `json:"began,omitzero"`
-	// Sequence grows with each heartbeat of an instance, so that heartbeats that arrive out of order can be ignored.
-	// Zero means that the heartbeats are not numbered.
-	Sequence uint64 `json:"sequence,omitempty"`
-}
-
 // Upstream is an announced upstream with its gate.
 type Upstream struct {
 	Service string
@@ -101,20 +63,6 @@
 	unconfirmed map[string]Announcement
 }
 
-// departure records that an instance left, so that a late heartbeat does not register it again.
-type departure struct {
-	began  time.Time
-	leftAt time.Time
-}
-
-// expiry records the last heartbeat of an instance whose heartbeats stopped, so that an earlier one that is late does not undo
-// a state announced later, such as draining.
-type expiry struct {
-	began     time.Time
-	sequence  uint64
-	expiredAt time.Time
-}
-
 // Option configures a new Announcer.
 type Option func(*Announcer)
 
@@ -158,56 +106,6 @@
 	return a
 }
 
-// ServeHTTP handles announcements and departure notices from this host.
-func (a *Announcer) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	if !isFromThisHost(r) {
-		refuser.New(refuser.NotRun, refuser.Unauthorized, "only this host's upstreams announce themselves here").Write(w)
-		return
-	}
-	var err error
-	switch r.Method {
-	case http.MethodPost:
-		err = a.handleAnnouncement(r.Body)
-	case http.MethodDelete:
-		err = a.handleDeparture(r)
-	default:
-		w.Header().Set("Allow", "POST, DELETE")
-		w.WriteHeader(http.StatusMethodNotAllowed)
-		return
-	}
-	if err != nil {
-		refuser.New(refuser.NotRun, refuser.BadRequest, err.Error()).Write(w)
-		return
-	}
-	w.WriteHeader(http.StatusNoContent)
-}
-
-func isFromThisHost(r *http.Request) bool {
-	remote, err := netip.ParseAddrPort(r.RemoteAddr)
-	if err != nil {
-		return false
-	}
-	local, ok := r.Context().Value(http.LocalAddrContextKey).(interface{ String() string })
-	if remote.Addr().Unmap().IsLoopback() {
-		return true
-	}
-	if !ok {
-		return false
-	}
-	own, err := netip.ParseAddrPort(local.String())
-	return err == nil && own.Addr().Unmap() == remote.Addr().Unmap()
-}
-
-func (a *Announcer) handleAnnouncement(body io.Reader) error {
-	dec := json.NewDecoder(io.LimitReader(body, maxBody))
-	dec.DisallowUnknownFields()
-	var msg Announcement
-	if err := dec.Decode(&msg); err != nil {
-		return errors.Wrap(err, "read announcement")
-	}
-	return a.Announce(msg)
-}
-
 // Announce processes one heartbeat.
 func (a *Announcer) Announce(msg Announcement) error {
 	addr, state, err := validate(msg)
@@ -337,87 +235,6 @@
 	return nil
 }
 
-// isOutdated reports whether a heartbeat is older than the known state: it is from an instance that left or was replaced,
-// or it arrived after a later heartbeat of its instance. An instance that has announced its departure does not return. A heartbeat
-// without a start time or a sequence can't be ordered, and counts as older than one that has them.
-func (a *Announcer) isOutdated(msg Announcement, up *Upstream) bool {
-	if d, ok := a.departures[msg.Instance]; ok && msg.Instance != "" && !msg.Began.After(d.began) {
-		return true
-	}
-	if e, ok := a.expiries[msg.Instance]; ok && isOlder(msg, e.began, e.sequence) {
-		return true
-	}
-	switch {
-	case up == nil:
-		return false
-	case up.Instance == msg.Instance:
-		return isOlder(msg, up.began, up.sequence)
-	default:
-		return msg.Began.Before(up.began)
-	}
-}
-
-// isOlder reports whether a heartbeat is not later than one of the same instance with the given start time and sequence. Heartbeats
-// that are not numbered are never older than one another.
-func isOlder(msg Announcement, began time.Time, sequence uint64) bool {
-	if !msg.Began.Equal(began) {
-		return msg.Began.Before(began)
-	}
-	return sequence != 0 && msg.Sequence <= sequence
-}
-
-func validate(msg Announcement) (netip.AddrPort, schema.UpstreamState, error) {
-	addr, err := netip.ParseAddrPort(msg.Address)
-	if err != nil || addr.Port() == 0 {
-		return addr, 0, errors.Errorf("bad address %q, want an IP address and a port", msg.Address)
-	}
-	if !resolver.IsName(msg.Service) {
-		return addr, 0, errors.Errorf("bad service %q, want lower-case letters, digits and dashes", msg.Service)
-	}
-	if !isInstance(msg.Instance) {
-		return addr, 0, errors.Errorf("bad instance %.20q, want at most %d letters, digits and . _ : ~ -", msg.Instance, maxInstanceBytes)
-	}
-	if msg.Slots < 1 || msg.Slots > maxSlots {
-		return addr, 0, errors.Errorf("bad slots %d, want 1 to %d", msg.Slots, maxSlots)
-	}
-	if msg.Load < 0 {
-		return addr, 0, errors.Errorf("bad load %v, want at least 0", msg.Load)
-	}
-	switch strings.ToLower(msg.State) {
-	case "ready":
-		return addr, schema.UpstreamState_UPSTREAM_STATE_READY, nil
-	case "starting":
-		return addr, schema.UpstreamState_UPSTREAM_STATE_STARTING, nil
-	case "draining":
-		return addr, schema.UpstreamState_UPSTREAM_STATE_DRAINING, nil
-	default:
-		return addr, 0, errors.Errorf("bad state %q, want ready, starting or draining", msg.State)
-	}
-}
-
-// validateOrder checks the values that order the heartbeats. With one that is too large, all later heartbeats of the service's
-// upstream would count as outdated.
-func (a *Announcer) validateOrder(msg Announcement) error {
-	switch {
-	case msg.Sequence > maxSequence:
-		return errors.Errorf("bad sequence %d, want at most %d", msg.Sequence, maxSequence)
-	case !msg.Began.IsZero() && (msg.Began.Unix() < 0 || msg.Began.After(a.timer.Now().Add(maxBeganAhead))):
-		return errors.Errorf("bad start time %v, want one since 1970 that is not in the future", msg.Began)
-	}
-	return nil
-}
-
-// isInstance reports whether an identifier consists of characters that need no escapes in a path or header. It may be empty.
-func isInstance(id string) bool {
-	for _, r := range id {
-		isAlphanumeric := 'a' <= r && r <= 'z' || 'A' <= r && r <= 'Z' || '0' <= r && r <= '9'
-		if !isAlphanumeric && !strings.ContainsRune("._:~-", r) {
-			return false
-		}
-	}
-	return len(id) <= maxInstanceBytes
-}
-
 func (a *Announcer) newUpstream(msg Announcement, addr netip.AddrPort) *Upstream {
 	return &Upstream{
 		Service:  msg.Service,
@@ -429,26 +246,6 @@
 	}
 }
 
-// handleDeparture serves DELETE. It takes the service and the address from the query, or both from the JSON body if the
-// query has no service.
-func (a *Announcer) handleDeparture(r *http.Request) error {
-	msg := Announcement{Service: r.URL.Query().Get("service"), Address: r.URL.Query().Get("address")}
-	if msg.Service == "" {
-		if err := json.NewDecoder(io.LimitReader(r.Body, maxBody)).Decode(&msg); err != nil {
-			return errors.New("name the service in the query or in a JSON body")
-		}
-	}
-	var addr netip.AddrPort
-	if msg.Address != "" {
-		var err error
-		if addr, err = netip.ParseAddrPort(msg.Address); err != nil {
-			return errors.Errorf("bad address %q, want an IP address and a port", msg.Address)
-		}
-	}
-	a.Remove(msg.Service, addr)
-	return nil
-}
-
 // Remove removes the upstream of a service if it has the given address. The zero address matches any.
 func (a *Announcer) Remove(service string, addr netip.AddrPort) {
 	a.mu.Lock()
