Wait for a reply that knows of the request before it is refused within its account's rate

Cause, by reading: a request without a token waits an eighth of its objective, and longer only while the owner has not replied since it came. The reply to an exchange that had been sent before counted as well, although the owner had not been asked for this request.

Ruled out: the queue of waiting requests (a test of 120 at a time had no refusals). Not shown: that this is the cause of that one 429; it was not seen again.

Change: while the account is within its rate, only replies to exchanges that were sent after the request came count. For accounts over their rate nothing changes, so that a flood is refused as early as before.

Evidence: TestStaleReplyRefusesRequestWithinRate failed before ("late grant": refused after 125 ms, want admitted; "no grant": over rate, want owner unresponsive), "account over its rate" passed before; all pass now, and so do the other tests of limiter, aggregator and syncer.

--- a/internal/limiter/bucket.go
+++ b/internal/limiter/bucket.go
@@ -58,18 +58,20 @@
 	epoch   uint64
 	batches []nodeBatch
 	// granted, settled and unspent are total numbers of tokens since the start of the epoch.
-	granted         float64
-	settled         float64
-	unspent         float64
-	waiters         queue
-	arrivals        arrivals
-	oversubscribed  bool
-	spentCount      uint64
-	tokenRate       tokenRate
-	demand          float64
-	demandUpdated   time.Time
-	fleetDemand     float64
-	lastReply       time.Time
+	granted        float64
+	settled        float64
+	unspent        float64
+	waiters        queue
+	arrivals       arrivals
+	oversubscribed bool
+	spentCount     uint64
+	tokenRate      tokenRate
+	demand         float64
+	demandUpdated  time.Time
+	fleetDemand    float64
+	lastReply      time.Time
+	// lastAnswered is when the exchange was sent to which lastReply belongs.
+	lastAnswered    time.Time
 	lastTake        time.Time
 	marks           []nodeMark
 	marksSent       int
@@ -184,7 +186,7 @@
 			return Admitted
 		}
 		waited := b.timer.Since(start)
-		ownerReplied := b.lastReply.After(start)
+		ownerReplied := b.hasReplied(start)
 		if decision == OverRate && !ownerReplied && waited < min(ownerWait, MaxOwnerWait) {
 			b.mu.Unlock()
 			b.wake()
@@ -199,6 +201,12 @@
 	}
 }
 
+// hasReplied reports whether the owner has replied to a request that waits since start. While the account is within its rate, a reply
+// to an exchange that was sent earlier does not count: the owner may give a token once it is asked.
+func (b *Bucket) hasReplied(start time.Time) bool {
+	return b.lastReply.After(start) && (b.oversubscribed || !b.lastAnswered.Before(start))
+}
+
 // waitOnce waits for a token for at most wait. A request whose account is within its rate asks again meanwhile: the tokens may
 // just have been at other nodes.
 func (b *Bucket) waitOnce(ctx context.Context, ready chan struct{}, wait time.Duration) Decision {
@@ -391,7 +399,7 @@
 	if epoch != b.epoch {
 		return
 	}
-	b.lastReply = b.timer.Now()
+	b.lastReply, b.lastAnswered = b.timer.Now(), requested
 	b.acknowledged = b.sent
 	b.marks = b.marks[min(b.marksSent, len(b.marks)):]
 	b.marksSent = 0
