--- a/internal/runner/platform_health_test.go
+++ b/internal/runner/platform_health_test.go
@@ -1,7 +1,6 @@
 package runner
 
 import (
-	"fmt"
 	"net/http"
 	"strings"
 	"testing"
@@ -44,15 +43,7 @@
 			if up := f.nodes[1].node.announcer.Upstream("svc1"); up != nil {
 				t.Errorf("the instance %.20q is registered", up.Instance)
 			}
-			w.mu.Lock()
-			w.instance = "i-new"
-			w.mu.Unlock()
-			n := 0
-			waitUntil(t, "the next instance serves requests", func() bool {
-				n++
-				f.heartbeat(1, "ready", n)
-				return f.send(0, http.MethodGet, "/one/x", "key-a", fmt.Sprintf("new-%d", n), "").status == http.StatusOK
-			})
+			f.replaceUpstream()
 		})
 	}
 }
--- a/internal/runner/platform_test.go
+++ b/internal/runner/platform_test.go
@@ -829,19 +829,25 @@
 				}
 				time.Sleep(25 * time.Millisecond)
 			}
-			w.mu.Lock()
-			w.instance, w.leaving = "i-new", false
-			w.mu.Unlock()
-			n := 0
-			waitUntil(t, "the next instance serves requests", func() bool {
-				n++
-				f.heartbeat(1, "ready", n)
-				return f.send(0, http.MethodGet, "/one/x", "key-a", fmt.Sprintf("new-%d", n), "").status == http.StatusOK
-			})
+			f.replaceUpstream()
 		})
 	}
 }
 
+// replaceUpstream gives the second worker a new instance, and waits until that serves requests.
+func (f *platformFleet) replaceUpstream() {
+	w := f.workers[1]
+	w.mu.Lock()
+	w.instance, w.leaving = "i-new", false
+	w.mu.Unlock()
+	n := 0
+	waitUntil(f.t, "the next instance serves requests", func() bool {
+		n++
+		f.heartbeat(1, "ready", n)
+		return f.send(0, http.MethodGet, "/one/x", "key-a", fmt.Sprintf("new-%d", n), "").status == http.StatusOK
+	})
+}
+
 // TestPlatformEarlyResponse checks the response of an upstream that responds before it has read a long body. The response
 // must be forwarded unchanged, the upstream must not get other bytes in place of the body, and the next request must
 // succeed.
