Test that callers of other nodes get an answer when the stop of the upstream's node ends

The test shows what callers see of it: 502, which promises nothing, and neither the POST nor the GET runs a second time. It passes without a change of the product.

--- a/internal/runner/platform_stop_test.go
+++ b/internal/runner/platform_stop_test.go
@@ -39,17 +39,19 @@
 	group.Wait()
 }
 
-// setTimeouts sets the timeout of all routes, and waits until it is in force at the first node.
+// setTimeouts sets the timeout of all routes, and waits until it is in force at all nodes.
 func (f *platformFleet) setTimeouts(d time.Duration) {
 	f.configure(`"timeoutS":1.5`, fmt.Sprintf(`"timeoutS":%v`, d.Seconds()))
-	waitUntil(f.t, "the timeouts are in force", func() bool {
-		return f.nodes[0].node.syncer.View().HostRoute("a.example", "/zero/x").Choose(0).Timeout == d
-	})
+	for _, node := range f.nodes {
+		waitUntil(f.t, "the timeouts are in force", func() bool {
+			return node.node.syncer.View().HostRoute("a.example", "/zero/x").Choose(0).Timeout == d
+		})
+	}
 }
 
 // stopSoon starts the stop of a node whose upstream is at work, and returns once the node refuses requests that would outlast it. It
-// returns the time at which requests in progress are answered.
-func (f *platformFleet) stopSoon(group *sync.WaitGroup) time.Time {
+// returns the time at which requests in progress are answered. Calls of other nodes may still be in progress at the end.
+func (f *platformFleet) stopSoon(group *sync.WaitGroup, otherNodesCalls int64) time.Time {
 	const limit = leaveNoticeTime + 1500*time.Millisecond
 	node := f.nodes[0].node
 	node.cfg.StopLimit = durationpb.New(limit)
@@ -57,8 +59,8 @@
 	group.Go(func() {
 		// The servers may take longer to close than the stop's limit, which cuts nothing.
 		_ = node.Stop()
-		if n := node.forwarder.Active(); n > 0 {
-			f.t.Errorf("%d requests are in progress at the end of the stop", n)
+		if n := node.forwarder.Active(); n > otherNodesCalls {
+			f.t.Errorf("%d requests are in progress at the end of the stop, want at most %d", n, otherNodesCalls)
 		}
 	})
 	waitUntil(f.t, "the upstream drains", func() bool {
@@ -83,7 +85,7 @@
 	waitUntil(t, "the upstreams are at work", func() bool {
 		return f.workers[0].runCount("long-0") == 1 && f.workers[1].runCount("long-1") == 1 && f.workers[1].runCount("long-2") == 1
 	})
-	f.stopSoon(&group)
+	f.stopSoon(&group, 0)
 	group.Wait()
 	for i, r := range got {
 		if r.err != nil || r.status != http.StatusGatewayTimeout {
@@ -108,7 +110,7 @@
 	var group sync.WaitGroup
 	group.Go(func() { f.send(0, http.MethodGet, "/zero/unresponsive", "key-a", "long", "", "X-Deadline-Ms", "8000") })
 	waitUntil(t, "the upstream is at work", func() bool { return f.workers[0].runCount("long") == 1 })
-	end := f.stopSoon(&group)
+	end := f.stopSoon(&group, 0)
 	time.Sleep(time.Until(end.Add(-slowResponse / 2)))
 	late := nested("late")
 	if ran := f.workers[1].runCount("late"); late.status != http.StatusServiceUnavailable || ran != 0 {
@@ -132,3 +134,31 @@
 		t.Errorf("status %d, error %v, ran %d times; want 503 with a Retry-After, not run", got.status, got.err, ran)
 	}
 }
+
+// TestStopOfUpstreamsNodeLeavesCallerWithoutAnswer guards against callers of other nodes that get no answer, or whose request runs
+// again, because the node beside the upstream ends its stop while the upstream is at work.
+func TestStopOfUpstreamsNodeLeavesCallerWithoutAnswer(t *testing.T) {
+	f := startServingPlatformFleet(t)
+	f.setTimeouts(8 * time.Second)
+	methods := []string{http.MethodPost, http.MethodGet}
+	got := make([]response, len(methods))
+	var group sync.WaitGroup
+	for i, method := range methods {
+		group.Go(func() {
+			got[i] = f.send(1, method, "/zero/unresponsive", "key-a", "elsewhere-"+method, "", "X-Deadline-Ms", "8000")
+		})
+	}
+	waitUntil(t, "the upstream is at work", func() bool {
+		return f.workers[0].runCount("elsewhere-POST") == 1 && f.workers[0].runCount("elsewhere-GET") == 1
+	})
+	f.stopSoon(&group, int64(len(methods)))
+	group.Wait()
+	for i, r := range got {
+		if r.err != nil || r.status != http.StatusBadGateway {
+			t.Errorf("%s: status %d, error %v; want 502", methods[i], r.status, r.err)
+		}
+		if ran := f.workers[0].runCount("elsewhere-" + methods[i]); ran != 1 {
+			t.Errorf("%s ran %d times", methods[i], ran)
+		}
+	}
+}
