Read an upstream's load from every response, with the slowdown of its host

Setting node.adaptiveControl tells when decisions adapt to the responses; the gate has it as IsAdaptive. Nothing uses it yet.

--- a/internal/admitter/gate.go
+++ b/internal/admitter/gate.go
@@ -76,6 +76,9 @@
 	static        bool
 	slots         int
 	usableShare   float64
+	adaptive      AdaptiveMode
+	// reportsSlowdown reports whether the upstream has reported a slowdown of its host.
+	reportsSlowdown bool
 }
 
 // Option configures a Gate.
--- /dev/null
+++ b/internal/admitter/load_report.go
@@ -0,0 +1,49 @@
+package admitter
+
+// LoadReport is what an upstream reports about its load in a response. It may be wrong.
+type LoadReport struct {
+	// Running, Waiting and Slots are numbers of requests.
+	Running int
+	Waiting int
+	Slots   int
+	// Slowdown is how long work takes on the upstream's host at present, relative to the usual time. It is valid only if
+	// HasSlowdown is set.
+	Slowdown    float64
+	HasSlowdown bool
+}
+
+// AdaptiveMode tells when a gate's decisions adapt to what the upstream's responses show.
+type AdaptiveMode int
+
+// Values of AdaptiveMode.
+const (
+	// AdaptiveAuto means once the upstream has reported a slowdown of its host.
+	AdaptiveAuto AdaptiveMode = iota
+	// AdaptiveOn means always.
+	AdaptiveOn
+	// AdaptiveOff means never.
+	AdaptiveOff
+)
+
+// WithAdaptiveMode sets when the gate's decisions adapt to what the upstream's responses show. The default is AdaptiveAuto.
+func WithAdaptiveMode(m AdaptiveMode) Option {
+	return func(g *Gate) { g.adaptive = m }
+}
+
+// RecordLoad records the load that the upstream reported in a response.
+func (g *Gate) RecordLoad(r LoadReport) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.reportsSlowdown = g.reportsSlowdown || r.HasSlowdown
+}
+
+// IsAdaptive reports whether the gate's decisions adapt to what the upstream's responses show.
+func (g *Gate) IsAdaptive() bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.isAdaptive()
+}
+
+func (g *Gate) isAdaptive() bool {
+	return g.adaptive == AdaptiveOn || (g.adaptive == AdaptiveAuto && g.reportsSlowdown)
+}
--- a/internal/forwarder/upstream.go
+++ b/internal/forwarder/upstream.go
@@ -112,6 +112,9 @@
 		c.mayHaveRun = result.Sent
 		return nil, UpstreamVerdict{}, err
 	}
+	if load, ok := f.upstreamProtocol.ReadLoad(httpResp.Header); ok {
+		up.Gate.RecordLoad(load)
+	}
 	verdict := f.upstreamProtocol.ReadVerdict(httpResp)
 	if verdict.Declined {
 		// The body is not needed; reading it allows the connection to be reused.
--- a/internal/forwarder/upstream_protocol.go
+++ b/internal/forwarder/upstream_protocol.go
@@ -5,6 +5,7 @@
 	"strconv"
 	"time"
 
+	"github.com/lavenderhub/lavenderhub/internal/admitter"
 	"github.com/lavenderhub/lavenderhub/internal/exchanger"
 )
 
@@ -38,6 +39,8 @@
 	SetHeaders func(h http.Header, info RequestInfo)
 	// ReadVerdict reads from a response whether the upstream ran the request.
 	ReadVerdict func(resp *http.Response) UpstreamVerdict
+	// ReadLoad reads from a response what the upstream reports about its load. It returns false if there is no valid report.
+	ReadLoad func(h http.Header) (admitter.LoadReport, bool)
 	// AllowUnframed accepts responses that are delimited by the end of their connection.
 	AllowUnframed bool
 }
@@ -54,7 +57,11 @@
 
 // defaultUpstreamProtocol returns the native protocol, which uses Lavenderhub headers.
 func defaultUpstreamProtocol() UpstreamProtocol {
-	return UpstreamProtocol{SetHeaders: setUpstreamHeaders, ReadVerdict: func(*http.Response) UpstreamVerdict { return UpstreamVerdict{} }}
+	return UpstreamProtocol{
+		SetHeaders:  setUpstreamHeaders,
+		ReadVerdict: func(*http.Response) UpstreamVerdict { return UpstreamVerdict{} },
+		ReadLoad:    func(http.Header) (admitter.LoadReport, bool) { return admitter.LoadReport{}, false },
+	}
 }
 
 // MatchRequest tells whether a response of an upstream with the native protocol echoes the handle of its request.
--- a/internal/runner/node.go
+++ b/internal/runner/node.go
@@ -105,7 +105,7 @@
 		return nil, err
 	}
 	n.announcer = announcer.New(b.Timer, b.Assert,
-		append(n.face.announcerOptions(func() { n.syncer.Wake() }, baseline.Gate), proberOpts...)...)
+		append(n.face.announcerOptions(func() { n.syncer.Wake() }, n.gateOptions(baseline)), proberOpts...)...)
 	callerListener, err := listen(cfg.GetCallerAddress())
 	if err != nil {
 		return nil, err
@@ -131,6 +131,18 @@
 	return n, nil
 }
 
+// gateOptions returns the options of the upstreams' gates.
+func (n *Node) gateOptions(baseline Baseline) []admitter.Option {
+	mode := admitter.AdaptiveAuto
+	switch n.cfg.GetAdaptiveControl() {
+	case schema.AdaptiveControl_ADAPTIVE_CONTROL_ON:
+		mode = admitter.AdaptiveOn
+	case schema.AdaptiveControl_ADAPTIVE_CONTROL_OFF:
+		mode = admitter.AdaptiveOff
+	}
+	return append([]admitter.Option{admitter.WithAdaptiveMode(mode)}, baseline.Gate...)
+}
+
 // listen opens a listener on an address from the settings.
 func listen(text string) (net.Listener, error) {
 	addr, err := netip.ParseAddrPort(text)
