Keep requests on connections that respond late

Cause: a ping between nodes that was not answered within 200 ms counted as a lost connection if a new connection answered, and all requests on the old one ended with 502. On links that lose 0.15 % of packets every lost packet does that, since it is sent again after 200 ms or later.

Change: such a connection gets no further requests, and those on it continue. They end once no byte was received for 1.5 s after a ping. Any byte counts, not only the head of a response. The node's stop closes its servers' connections at its limit; callers of other nodes got their 502 from the ping before.

--- a/internal/dialer/peer.go
+++ b/internal/dialer/peer.go
@@ -4,6 +4,7 @@
 	"context"
 	"net/http"
 	"net/netip"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -12,9 +13,10 @@
 )
 
 const (
-	// VerifiedFor is how long after the last response from a peer its connection counts as working without a ping.
+	// VerifiedFor is how long after the last byte from a peer its connection counts as working without a ping.
 	VerifiedFor = 250 * time.Millisecond
-	// verifyTimeout bounds a ping that verifies a connection.
+	// verifyTimeout bounds a ping that verifies a connection. A late response is no evidence of a broken connection, since a
+	// lost packet alone delays it by 200 ms: such a connection gets no new requests, but those on it continue.
 	verifyTimeout = 200 * time.Millisecond
 	// PingPath is the path of the requests that verify a connection.
 	PingPath = "/lavenderhub/v1/ping"
@@ -29,14 +31,16 @@
 
 // Peer is a client of another process of the fleet. It is safe for concurrent use.
 type Peer struct {
-	pool    *Pool
-	address netip.AddrPort
-	current atomic.Pointer[connection]
-	// lastReceived is when the peer last responded, in nanoseconds since the pool's start, or zero if it never did.
-	lastReceived atomic.Int64
+	pool         *Pool
+	address      netip.AddrPort
+	current      atomic.Pointer[connection]
 	openRequests atomic.Int64
 	monitoring   atomic.Bool
 	verifyMu     sync.Mutex
+
+	mu sync.Mutex
+	// replaced holds earlier connections that still have open requests.
+	replaced []*connection
 }
 
 // URL returns the URL of a path at the peer.
@@ -44,9 +48,9 @@
 	return p.pool.security.Scheme() + "://" + p.address.String() + path
 }
 
-// RoundTrip sends one request. While requests are open, their connection is verified regularly. If it stops responding,
-// it is closed, and its requests fail: with ErrReplaced if the peer responds on a new connection, and otherwise with
-// ErrUnresponsive.
+// RoundTrip sends one request. While requests are open, their connections are verified regularly. A connection that responds
+// late gets no further requests. If it stays silent, its requests fail: with ErrReplaced if the peer responds on a new
+// connection, and otherwise with ErrUnresponsive.
 func (p *Peer) RoundTrip(req *http.Request) (*http.Response, error) {
 	p.openRequests.Add(1)
 	p.monitor()
@@ -55,7 +59,6 @@
 		p.openRequests.Add(-1)
 		return nil, err
 	}
-	p.recordReceived()
 	body := resp.Body.(*trackedBody)
 	release := body.release
 	body.release = func() {
@@ -79,11 +82,16 @@
 // roundTrip sends one request on the current connection.
 func (p *Peer) roundTrip(req *http.Request) (*http.Response, error) {
 	conn := p.current.Load()
+	if conn.requests.Add(1) == 1 {
+		// A ping that failed while no request was open says nothing about the time since.
+		conn.pingedAt.Store(0)
+	}
 	ctx, cancel := context.WithCancel(req.Context())
 	stop := context.AfterFunc(conn.ctx, cancel)
 	release := func() {
 		stop()
 		cancel()
+		conn.requests.Add(-1)
 	}
 	resp, err := conn.transport.RoundTrip(req.WithContext(ctx))
 	if err != nil {
@@ -97,11 +105,7 @@
 	return resp, nil
 }
 
-func (p *Peer) recordReceived() {
-	p.lastReceived.Store(int64(p.pool.timer.Since(p.pool.started)))
-}
-
-// monitor starts a goroutine that verifies the connection every VerifiedFor while requests are open. It does nothing if
+// monitor starts a goroutine that verifies the connections every VerifiedFor while requests are open. It does nothing if
 // one is running.
 func (p *Peer) monitor() {
 	if !p.monitoring.CompareAndSwap(false, true) {
@@ -120,34 +124,64 @@
 					return nil
 				}
 			}
-			// Verify itself fails the requests of an unresponsive peer, so its error needs no handling here.
+			// endSilent ends the requests of an unresponsive peer, so the error needs no handling here.
 			_ = p.Verify(ctx)
+			p.endSilent()
 		}
 		return nil
 	})
 }
 
+// endSilent ends the requests on silent connections, and forgets replaced connections without requests.
+func (p *Peer) endSilent() {
+	current := p.current.Load()
+	cause := ErrReplaced
+	if current.isSilent() {
+		p.Reset()
+		cause = ErrUnresponsive
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.replaced = slices.DeleteFunc(p.replaced, func(c *connection) bool {
+		if c.requests.Load() > 0 && !c.isSilent() {
+			return false
+		}
+		c.fail(cause)
+		return true
+	})
+}
+
 // Reset closes all connections to the peer and fails their requests with ErrUnresponsive. The next request opens a new
 // connection.
 func (p *Peer) Reset() {
-	p.replace(p.pool.newConnection(), ErrUnresponsive)
+	p.current.Swap(p.pool.newConnection()).fail(ErrUnresponsive)
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, c := range p.replaced {
+		c.fail(ErrUnresponsive)
+	}
+	p.replaced = nil
 }
 
-func (p *Peer) replace(next *connection, cause error) {
+// replace makes later requests use another connection. Those on the current one continue.
+func (p *Peer) replace(next *connection) {
 	old := p.current.Swap(next)
-	old.cancel(cause)
 	old.transport.CloseIdleConnections()
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.replaced = append(p.replaced, old)
 }
 
-// Verify checks that the peer responds on its connection, and replaces a connection on which it does not. It returns
+// Verify checks that the peer responds on its connection, and replaces a connection on which it responds late. It returns
 // ErrUnresponsive if the peer does not respond on the new connection either; only pings have been sent then.
 func (p *Peer) Verify(ctx context.Context) error {
-	if p.isVerified() {
+	if p.current.Load().isVerified() {
 		return nil
 	}
 	p.verifyMu.Lock()
 	defer p.verifyMu.Unlock()
-	if p.isVerified() || p.ping(ctx, p.current.Load()) {
+	current := p.current.Load()
+	if current.isVerified() || p.ping(ctx, current) {
 		return nil
 	}
 	if ctx.Err() != nil {
@@ -155,18 +189,14 @@
 	}
 	next := p.pool.newConnection()
 	if p.ping(ctx, next) {
-		p.replace(next, ErrReplaced)
+		p.replace(next)
 		return nil
 	}
-	p.replace(next, ErrUnresponsive)
+	// A stopping peer refuses new connections while it completes the requests on its open ones, so these continue.
+	next.fail(ErrUnresponsive)
 	return ErrUnresponsive
 }
 
-func (p *Peer) isVerified() bool {
-	last := time.Duration(p.lastReceived.Load())
-	return last > 0 && p.pool.timer.Since(p.pool.started)-last < VerifiedFor
-}
-
 func (p *Peer) ping(ctx context.Context, conn *connection) bool {
 	ctx, cancel := context.WithTimeout(ctx, verifyTimeout)
 	defer cancel()
@@ -174,11 +204,11 @@
 	if err != nil {
 		return false
 	}
+	conn.recordPing()
 	resp, err := conn.transport.RoundTrip(req)
 	if err != nil {
 		return false
 	}
 	_ = resp.Body.Close()
-	p.recordReceived()
 	return true
 }
--- a/internal/dialer/pool.go
+++ b/internal/dialer/pool.go
@@ -77,17 +77,12 @@
 	})
 }
 
-// connection is a transport to a peer with a context that is canceled when the transport is replaced.
-type connection struct {
-	transport *http.Transport
-	ctx       context.Context
-	cancel    context.CancelCauseFunc
-}
-
 func (p *Pool) newConnection() *connection {
+	c := &connection{pool: p}
+	c.ctx, c.cancel = context.WithCancelCause(context.Background())
 	var protocols http.Protocols
-	tr := &http.Transport{
-		DialContext:     p.dial,
+	c.transport = &http.Transport{
+		DialContext:     c.dial,
 		IdleConnTimeout: idleTimeout,
 		Protocols:       &protocols,
 		HTTP2:           http2Config(),
@@ -99,18 +94,14 @@
 		protocols.SetUnencryptedHTTP2(true)
 	} else {
 		protocols.SetHTTP2(true)
-		tr.TLSClientConfig = p.security.clientConfig()
+		c.transport.TLSClientConfig = p.security.clientConfig()
 	}
-	ctx, cancel := context.WithCancelCause(context.Background())
-	return &connection{transport: tr, ctx: ctx, cancel: cancel}
+	return c
 }
 
-func (p *Pool) dial(ctx context.Context, network, target string) (net.Conn, error) {
-	conn, err := p.dialFunc(ctx, network, target)
-	if err != nil {
-		return nil, err
-	}
-	return &countedConn{Conn: conn, pool: p}, nil
+// now returns the time since the pool's start, which is never zero.
+func (p *Pool) now() time.Duration {
+	return max(1, p.timer.Since(p.started))
 }
 
 // Traffic returns the number of bytes sent and received over all connections of the pool.
@@ -118,22 +109,25 @@
 	return p.sent.Load(), p.received.Load()
 }
 
-// countedConn adds the bytes of a connection to the pool's totals.
+// countedConn adds the bytes of a connection to the pool's totals, and records when it receives any.
 type countedConn struct {
 	net.Conn
-	pool *Pool
+	connection *connection
 }
 
 // Read implements net.Conn.
 func (c *countedConn) Read(b []byte) (int, error) {
 	n, err := c.Conn.Read(b)
-	c.pool.received.Add(int64(n))
+	if n > 0 {
+		c.connection.pool.received.Add(int64(n))
+		c.connection.recordReceived()
+	}
 	return n, err
 }
 
 // Write implements net.Conn.
 func (c *countedConn) Write(b []byte) (int, error) {
 	n, err := c.Conn.Write(b)
-	c.pool.sent.Add(int64(n))
+	c.connection.pool.sent.Add(int64(n))
 	return n, err
 }
--- a/internal/dialer/security.go
+++ b/internal/dialer/security.go
@@ -20,8 +20,9 @@
 const (
 	// sendPingTimeout is how long no frame may arrive on a connection before a ping is sent.
 	sendPingTimeout = time.Second
-	// pingTimeout is how long a ping may go unanswered before the connection is closed.
-	pingTimeout = time.Second
+	// pingTimeout is how long a ping may go unanswered before the connection is closed. A peer's silent connections are found
+	// before that (silenceLimit), so that their requests fail with a known cause.
+	pingTimeout = 2 * time.Second
 	// dialTimeout bounds the opening of a connection.
 	dialTimeout = 500 * time.Millisecond
 	// idleTimeout is how long a connection without requests stays open.
--- a/internal/runner/node.go
+++ b/internal/runner/node.go
@@ -330,6 +330,11 @@
 	if peerErr := n.peerServer.Shutdown(ctx); err == nil {
 		err = peerErr
 	}
+	if err != nil {
+		// Callers and other nodes must not wait for requests that are interrupted.
+		_ = n.callerServer.Close()
+		_ = n.peerServer.Close()
+	}
 	n.logStop("serversClosed")
 	n.Assert.Check(asserter.StopCutsNothing, err != nil || n.forwarder.Active() == 0, "")
 	_ = n.syncer.Kill()
