Suspend an upstream whose responses show that it is faulty

Cause: an upstream that answers 32 % of its calls with an error although its health check is good stays in use: a 500 is a complete response, and five failures in a row are rare. Every request that passes it may fail.

Change: the gate beside the upstream judges each call and asks the breaker before and after the wait for a slot. A declined call gets the refusal suspended (503, notRun) with Lavenderhub-Suspended-Ms between nodes; the sender reroutes it and avoids the worker for that time. The last reroute, and a call that finds too many workers suspended, ignores the suspension. Failed nested calls without a parent explain one failed response each. Only with Gate.IsAdaptive.

--- a/internal/announcer/announcer.go
+++ b/internal/announcer/announcer.go
@@ -12,6 +12,7 @@
 
 	"github.com/lavenderhub/lavenderhub/internal/admitter"
 	"github.com/lavenderhub/lavenderhub/internal/asserter"
+	"github.com/lavenderhub/lavenderhub/internal/breaker"
 	"github.com/lavenderhub/lavenderhub/internal/exchanger"
 	"github.com/lavenderhub/lavenderhub/internal/timer"
 	"github.com/lavenderhub/lavenderhub/schema"
@@ -31,6 +32,8 @@
 	Gate    *admitter.Gate
 	// Pool holds the connections to the upstream.
 	Pool *exchanger.Pool
+	// Breaker suspends the upstream while its responses show that it is faulty.
+	Breaker *breaker.Breaker
 	// Instance identifies the running instance, or is empty if the upstream gave no identifier.
 	Instance string
 
@@ -241,6 +244,7 @@
 		Address:  addr,
 		Gate:     admitter.New(msg.Slots, a.timer, a.assert, a.gateOpts...),
 		Pool:     exchanger.New(addr, a.timer, a.poolOpts...),
+		Breaker:  breaker.New(),
 		Instance: msg.Instance,
 		began:    msg.Began,
 	}
@@ -352,6 +356,19 @@
 	return total
 }
 
+// Suspended returns the number of upstreams whose breakers are not closed.
+func (a *Announcer) Suspended() int {
+	a.mu.RLock()
+	defer a.mu.RUnlock()
+	n := 0
+	for _, up := range a.byService {
+		if up.Breaker.IsSuspended() {
+			n++
+		}
+	}
+	return n
+}
+
 // Upstream returns the upstream of a service, or nil.
 func (a *Announcer) Upstream(service string) *Upstream {
 	a.mu.RLock()
--- a/internal/forwarder/attempt.go
+++ b/internal/forwarder/attempt.go
@@ -85,6 +85,7 @@
 	if report.hasRetryShare && c.fromLocalUpstream {
 		f.nestedRetryShares.Record(c.route.Service, report.retryShare, now)
 	}
+	rememberSuspension(t, ref, report, now)
 	t.Finish(router.Result{
 		Latency:  now.Sub(start),
 		Failed:   unresponsive || isWorkerFault(ref),
@@ -236,6 +237,8 @@
 		Instance:        t.Instance(),
 		PatienceMicros:  uint64(c.maxWait.Microseconds()),
 		Repeat:          c.retryProbability,
+
+		IgnoreSuspension: c.ignoreSuspension,
 	}, id, secret)
 }
 
--- a/internal/forwarder/call.go
+++ b/internal/forwarder/call.go
@@ -41,6 +41,8 @@
 	retryProbability float64
 	// fromLocalUpstream is set when the local upstream makes the call.
 	fromLocalUpstream bool
+	// ignoreSuspension is set for an attempt that runs even if the breaker of its upstream is not closed.
+	ignoreSuspension bool
 	// mayHaveRun is set once a byte may have reached an upstream.
 	mayHaveRun bool
 }
--- a/internal/forwarder/dispatch.go
+++ b/internal/forwarder/dispatch.go
@@ -19,6 +19,8 @@
 	tried    []*router.Target
 	retries  uint32
 	reroutes int
+	// ignoreSuspension is set when the call is tried even at a suspended upstream.
+	ignoreSuspension bool
 }
 
 // dispatch sends a call to a worker of its service and, while reroutes and retries are allowed, to further ones. Exactly
@@ -38,6 +40,7 @@
 	}
 	for {
 		state.tried = append(state.tried, t)
+		c.ignoreSuspension = state.ignoreSuspension || t.IsSuspended(f.Timer.Now())
 		f.Assert.Check(asserter.RunsAtMostOnce, c.idempotent || !c.mayHaveRun, "")
 		resp, ref := f.attempt(ctx, c, t, f.retryGrant(c, &state))
 		if resp != nil && !resp.isRetryable() {
@@ -49,6 +52,10 @@
 			// The attempt was canceled in favor of another worker, but no other worker is left: pick among all workers.
 			next = f.pickWorker(c, nil)
 		}
+		if next == nil && ref != nil && ref.Reason == refuser.Suspended {
+			// No other worker is left: the call must be tried nevertheless.
+			next, state.ignoreSuspension = t, true
+		}
 		if next == nil || !f.mayTryAnother(ctx, c, &state, resp, ref) {
 			return resp, f.correctOutcome(c, ref)
 		}
@@ -194,6 +201,12 @@
 	case refuser.Draining, refuser.NotReady, refuser.NoUpstream:
 	case refuser.Overloaded:
 		limit = 1
+	case refuser.Suspended:
+		if !state.mayPassSuspension(c) {
+			return false
+		}
+		f.meters.reroutes.Inc(1)
+		return true
 	default:
 		return false
 	}
--- a/internal/forwarder/forwarder.go
+++ b/internal/forwarder/forwarder.go
@@ -112,6 +112,9 @@
 	// hasRetryLimit is set when the settings give retryLimit.
 	hasRetryLimit bool
 	latencies     retrier.Latencies
+	// upstreamLatencies holds the response times of the local upstream by route, and nestedFailures its failed nested calls.
+	upstreamLatencies retrier.Latencies
+	nestedFailures    nestedFailures
 }
 
 // Overrides disables decisions to give baselines for experiments.
@@ -155,6 +158,7 @@
 	f.stopped, f.endStop = context.WithCancelCause(context.Background())
 	f.meters = newMeters(parts.Registry)
 	parts.Registry.GetOrRegister("log.leftOut", metrics.NewFunctionalGauge(f.decisions.Dropped))
+	f.registerBreakerGauge()
 	for _, opt := range opts {
 		opt(f)
 	}
--- a/internal/forwarder/peer.go
+++ b/internal/forwarder/peer.go
@@ -104,5 +104,6 @@
 		host:             token.GetHost(),
 		maxWait:          time.Duration(token.GetPatienceMicros()) * time.Microsecond,
 		retryProbability: token.GetRepeat(),
+		ignoreSuspension: token.GetIgnoreSuspension(),
 	}, nil
 }
--- a/internal/forwarder/request.go
+++ b/internal/forwarder/request.go
@@ -67,7 +67,7 @@
 	if req.Handle != "" {
 		r.response, r.Refusal = f.serveNested(ctx, req)
 	} else {
-		r.response, r.Refusal = f.serveRoot(ctx, req)
+		r.response, r.Refusal = f.serveRootOrNested(ctx, req)
 	}
 	if r.Refusal != nil {
 		f.meters.countRefusal(string(r.Refusal.Reason))
--- a/internal/forwarder/root.go
+++ b/internal/forwarder/root.go
@@ -93,7 +93,7 @@
 // retryCause returns the cause from which the Retry-After of a refusal is computed.
 func retryCause(reason refuser.Reason) retrier.Cause {
 	switch reason {
-	case refuser.Declined, refuser.Draining:
+	case refuser.Declined, refuser.Draining, refuser.Suspended:
 		return retrier.OneWorker
 	case refuser.NotReady, refuser.NoUpstream:
 		return retrier.Recovery
--- a/internal/forwarder/running.go
+++ b/internal/forwarder/running.go
@@ -52,12 +52,14 @@
 	level  uint32
 	failed bool
 	shed   bool
+	// active is the number of nested calls in progress.
+	active int
 }
 
 func (r *runningRequest) summary(now time.Time) nestedSummary {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	s := nestedSummary{time: r.nestedTime, level: r.level, failed: r.failed, shed: r.shed}
+	s := nestedSummary{time: r.nestedTime, level: r.level, failed: r.failed, shed: r.shed, active: r.activeNested}
 	if r.activeNested > 0 {
 		s.time += now.Sub(r.nestedSince)
 	}
--- a/internal/forwarder/upstream.go
+++ b/internal/forwarder/upstream.go
@@ -18,6 +18,9 @@
 
 // runUpstream passes a call through the gate to the local upstream.
 func (f *Forwarder) runUpstream(ctx context.Context, c *call, up *announcer.Upstream) (*response, *refuser.Refusal, hopReport) {
+	if ref, report := f.refuseSuspended(c, up); ref != nil {
+		return nil, ref, report
+	}
 	ticket, decision := up.Gate.Admit(ctx, admitter.Request{
 		Rank: c.rank, Deadline: c.deadline, Rerouted: c.rerouted, MaxWait: c.maxWait,
 	})
@@ -30,6 +33,12 @@
 		ticket.Cancel()
 		return nil, ref, f.newReport(up, c, nestedSummary{})
 	}
+	// The breaker may have opened during the wait for a slot.
+	judge, ref, report := f.passBreaker(c, up)
+	if ref != nil {
+		ticket.Cancel()
+		return nil, ref, report
+	}
 	start := f.Timer.Now()
 	running := &runningRequest{call: c, ctx: ctx}
 	handle := f.runningRequests.add(running)
@@ -42,7 +51,9 @@
 		f.meters.upstreamTime.Update(total)
 		return nested
 	}
+	judge.begin(ctx, running, start)
 	resp, verdict, err := f.exchange(ctx, c, up, handle)
+	judge.end(resp, verdict, err)
 	if verdict.Declined {
 		finish(!verdict.OtherInstance)
 		return nil, declinedRefusal(), f.newReport(up, c, nestedSummary{})
--- a/internal/refuser/refusal.go
+++ b/internal/refuser/refusal.go
@@ -54,6 +54,7 @@
 	CallerLeft            Reason = "callerLeft"
 	Declined              Reason = "declined"
 	SlowAttempt           Reason = "slowAttempt"
+	Suspended             Reason = "suspended"
 )
 
 // Names of the headers that describe an outcome.
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -23,8 +23,8 @@
 	// service of four may be slow without any call having to use one. If all were compared, callers with equally old load
 	// reports would all choose the same worker.
 	choices = 3
-	// panicThreshold is the share of a service's workers that must be healthy. With fewer healthy workers, ejections are
-	// ignored.
+	// panicThreshold is the share of a service's workers that must be healthy. With fewer healthy workers, ejections and
+	// suspensions are ignored.
 	panicThreshold = 0.5
 )
 
@@ -214,8 +214,8 @@
 	return eligible(all, tried, now, func(t *Target) bool { return t.suspect.Load() })
 }
 
-// eligible returns the workers for which isEligible returns true and that are neither tried nor ejected. If too few
-// remain, it ignores ejections.
+// eligible returns the workers for which isEligible returns true and that are neither tried, ejected nor suspended. If too
+// few remain, it ignores ejections and suspensions.
 func eligible(all, tried []*Target, now time.Time, isEligible func(*Target) bool) []*Target {
 	var healthy, untried []*Target
 	total := 0
@@ -228,7 +228,7 @@
 			continue
 		}
 		untried = append(untried, t)
-		if !t.isEjected(now) {
+		if !t.isEjected(now) && !t.IsSuspended(now) {
 			healthy = append(healthy, t)
 		}
 	}
--- a/internal/router/target.go
+++ b/internal/router/target.go
@@ -57,6 +57,8 @@
 	failures     int
 	ejections    int
 	ejectedUntil time.Time
+	// suspendedUntil is the time until which the worker's gate declines calls because its upstream is faulty.
+	suspendedUntil time.Time
 }
 
 func newTarget(w *schema.Worker, self string) *Target {
@@ -77,7 +79,9 @@
 	t.ready.Store(w.GetState() == schema.UpstreamState_UPSTREAM_STATE_READY)
 	t.suspect.Store(w.GetState() == schema.UpstreamState_UPSTREAM_STATE_SUSPECT)
 	instance := w.GetInstance()
-	t.instance.Store(&instance)
+	if old := t.instance.Swap(&instance); old != nil && *old != instance {
+		t.Suspend(0, time.Time{})
+	}
 }
 
 // Instance returns the ID of the expected upstream instance, or an empty string if the upstream reported none.
