--- a/internal/breaker/breaker.go
+++ b/internal/breaker/breaker.go
@@ -36,8 +36,9 @@
 	// maxFirstTrials is the number of trial calls in progress before the first success. With one, a lost response would hold
 	// up the trial until its deadline.
 	maxFirstTrials = 2
-	// trialRefusal is the time for which calls beyond the trial are refused.
-	trialRefusal = 250 * time.Millisecond
+	// trialRefusal is the time for which calls beyond the trial are refused. A trial lasts about a second, and its calls come
+	// from senders that were not refused before.
+	trialRefusal = 100 * time.Millisecond
 	// trialSuccesses is the number of consecutive successes that close the breaker. An upstream that fails 32 % of its calls
 	// reaches it in one of fifty trials.
 	trialSuccesses = 10
