Judge calls that a sender cancels at their deadline

Cause: the deadline of a call ends it at its sender and at the gate at about the same time. If the sender's cancellation came first, a lost response counted as abandoned. After a freeze of the host, all responses are missing at their deadlines, which says nothing about the upstream.

--- a/internal/forwarder/judge.go
+++ b/internal/forwarder/judge.go
@@ -16,6 +16,9 @@
 	// unansweredFactor is the number of usual response times that a call must have had before its deadline, so that the
 	// missing response counts as a failure.
 	unansweredFactor = 2
+	// maxLateness is the time after a call's deadline from which its missing response says nothing about the upstream: this
+	// host was frozen, too, or lacks processor time.
+	maxLateness = 500 * time.Millisecond
 )
 
 // judge tells the breaker of the local upstream what the result of one call says about the upstream.
@@ -88,9 +91,13 @@
 	}
 }
 
-// isAbandoned reports whether the call ended because its sender canceled it, or the stop of this node did.
+// isAbandoned reports whether the call ended because its sender canceled it, or the stop of this node did. Near the deadline, the
+// sender's cancellation and the deadline arrive in any order.
 func (j *judge) isAbandoned() bool {
-	return j.ctx.Err() == context.Canceled
+	if cause := context.Cause(j.ctx); cause == errStopEnds || cause == errSlowAttempt {
+		return true
+	}
+	return j.ctx.Err() == context.Canceled && j.forwarder.remaining(j.call.deadline) > deadlineMargin
 }
 
 // isAtDeadline reports whether the call ended by its deadline: at this node, or with the upstream's own 504.
@@ -103,6 +110,9 @@
 
 // hadTime reports whether the upstream usually answers such a call in much less than the time that it had.
 func (j *judge) hadTime() bool {
+	if j.forwarder.Timer.Since(j.call.deadline) > maxLateness {
+		return false
+	}
 	usual := j.forwarder.upstreamLatencies.Of(j.latencyName()).Usual()
 	return usual > 0 && j.call.deadline.Sub(j.start) >= unansweredFactor*usual
 }
--- a/internal/forwarder/judge_test.go
+++ b/internal/forwarder/judge_test.go
@@ -57,6 +57,8 @@
 	broken := errors.New("broken")
 	canceled, cancel := context.WithCancel(context.Background())
 	cancel()
+	slow, cancelSlow := context.WithCancelCause(context.Background())
+	cancelSlow(errSlowAttempt)
 	expired, cancelExpired := context.WithDeadline(context.Background(), time.Unix(0, 0))
 	defer cancelExpired()
 	tests := []struct {
@@ -81,7 +83,19 @@
 		{name: "declined by a full upstream", verdict: UpstreamVerdict{Declined: true}, busy: 10, want: breaker.Neutral},
 		{name: "declined by an idle upstream", verdict: UpstreamVerdict{Declined: true}, busy: 1, want: breaker.Declined},
 		{name: "another instance", verdict: UpstreamVerdict{Declined: true, OtherInstance: true}, want: breaker.Neutral},
-		{name: "abandoned", ctx: canceled, err: context.Canceled, want: breaker.Neutral},
+		{name: "abandoned", ctx: canceled, given: time.Second, took: 900 * time.Millisecond, err: context.Canceled, want: breaker.Neutral},
+		{
+			name: "canceled by the sender at the deadline", ctx: canceled, given: time.Second, took: 990 * time.Millisecond,
+			err: context.Canceled, want: breaker.Failure,
+		},
+		{
+			name: "canceled in favor of another attempt", ctx: slow, given: time.Second, took: 990 * time.Millisecond,
+			err: context.Canceled, want: breaker.Neutral,
+		},
+		{
+			name: "deadline while the host was frozen", ctx: expired, given: time.Second, took: 3 * time.Second,
+			err: context.DeadlineExceeded, want: breaker.Neutral,
+		},
 		{name: "lost response", ctx: expired, given: time.Second, took: time.Second, err: context.DeadlineExceeded, want: breaker.Failure},
 		{
 			name: "deadline with little time", ctx: expired, given: 150 * time.Millisecond, took: 150 * time.Millisecond,
