Describe the suspension of faulty upstreams; trials survive lost responses

Two trial calls without a response held up the trial until their deadline; now the next one may run after 1 s.

--- a/internal/breaker/breaker.go
+++ b/internal/breaker/breaker.go
@@ -36,6 +36,8 @@
 	// maxFirstTrials is the number of trial calls in progress before the first success. With one, a lost response would hold
 	// up the trial until its deadline.
 	maxFirstTrials = 2
+	// staleTrial is the time after which a trial call without a result no longer holds up the next one.
+	staleTrial = time.Second
 	// trialRefusal is the time for which calls beyond the trial are refused. A trial lasts about a second, and its calls come
 	// from senders that were not refused before.
 	trialRefusal = 100 * time.Millisecond
@@ -53,8 +55,8 @@
 	successScore = math.Log((1 - faultyErrorRate) / (1 - usualErrorRate))
 )
 
-// Breaker suspends one upstream while its responses show that it is faulty. It serves an upstream that gets about ten to a
-// hundred calls a second from many nodes, where each node alone gets too few to judge by. It sums the logarithms of the
+// Breaker suspends one upstream while its responses show that it is faulty. It serves an upstream that gets ten to a few
+// hundred calls a second from many nodes, where each sender alone sees too few results to judge by. It sums the logarithms of the
 // likelihood ratios of the results (CUSUM) and thus needs the fewest calls to tell the two error rates apart. It is safe for
 // concurrent use.
 type Breaker struct {
@@ -127,7 +129,8 @@
 	if !idempotent && now.Sub(lastIdempotent) < idempotentWait {
 		return false
 	}
-	return b.trials < maxFirstTrials+b.successes && now.Sub(b.lastTrial) >= trialSpacing/time.Duration(1+b.successes)
+	sinceLast := now.Sub(b.lastTrial)
+	return (b.trials < maxFirstTrials+b.successes || sinceLast >= staleTrial) && sinceLast >= trialSpacing/time.Duration(1+b.successes)
 }
 
 // Admit reports whether a call may run. With ignoreSuspension it may always run. For an admitted call, Record must be called.
