Measure the congestion of a gate

The admission level and the load of a gate do not show calls in progress that wait until their deadline: they have the rank InProgress, and no level sheds them. An adaptive gate reports the share of calls in the last 0.2 s that waited longer than a quarter of the time to their deadline or were refused for lack of capacity. Not counted: calls that arrive with too little time left, since that time was lost elsewhere, and requests that the upstream itself declines, as faulty upstreams do that as well.

--- a/internal/admitter/gate.go
+++ b/internal/admitter/gate.go
@@ -79,6 +79,7 @@
 	adaptive      AdaptiveMode
 	// reportsSlowdown reports whether the upstream has reported a slowdown of its host.
 	reportsSlowdown bool
+	congestion      congestionMeter
 }
 
 // Option configures a Gate.
@@ -152,6 +153,7 @@
 		return Ticket{}, d
 	}
 	if g.unlimited || (g.queue.Len() == 0 && g.inflight < g.limit.current()) {
+		g.congestion.record(false, now)
 		g.start()
 		g.mu.Unlock()
 		return Ticket{gate: g}, Admitted
@@ -177,10 +179,12 @@
 	case req.Deadline.Sub(now) < g.mean/2:
 		return DeadlineExceeded
 	case !g.fifo && req.Rank < g.level.current(now):
+		g.congestion.record(true, now)
 		g.level.recordShed(req.Rank, now)
 		return Shed
 	case g.queue.Len() >= g.limit.slots*maxQueuedPerSlot:
 		g.queueShed = true
+		g.congestion.record(true, now)
 		g.level.recordShed(req.Rank, now)
 		return Shed
 	}
@@ -240,9 +244,13 @@
 		return Ticket{gate: g}, <-w.decision
 	}
 	heap.Remove(&g.queue, w.index)
+	now := g.timer.Now()
+	if d == Canceled {
+		g.congestion.recordWait(w, now)
+	}
 	if d == Shed {
-		now := g.timer.Now()
 		g.queueShed = true
+		g.congestion.record(true, now)
 		g.level.recordShed(w.req.Rank, now)
 		if !now.Before(w.lastStart) {
 			d = DeadlineExceeded
@@ -291,15 +299,18 @@
 	for g.queue.Len() > 0 && g.inflight < g.limit.current() {
 		w := heap.Pop(&g.queue).(*waiter)
 		if now.After(g.lastStart(w.req)) {
+			g.congestion.record(true, now)
 			w.decision <- DeadlineExceeded
 			continue
 		}
 		if !g.fifo && w.req.Rank < g.level.shedFloor(now) {
+			g.congestion.record(true, now)
 			g.level.recordShed(w.req.Rank, now)
 			w.decision <- Shed
 			continue
 		}
 		g.checkOrder(w)
+		g.congestion.recordWait(w, now)
 		g.start()
 		w.decision <- Admitted
 	}
@@ -376,6 +387,9 @@
 	Load float64
 	// Mean is the mean request time.
 	Mean time.Duration
+	// Congestion is the share of calls in the last 0.2 s that were refused for lack of capacity or waited for long. It is
+	// zero if the gate is not adaptive.
+	Congestion float64
 }
 
 // Report returns the gate's current state.
@@ -385,7 +399,11 @@
 	now := g.timer.Now()
 	g.endWindow(now)
 	load := float64(g.inflight+g.queue.Len()) / float64(g.limit.current())
-	return Report{Level: g.level.current(now), Load: load, Mean: g.mean}
+	report := Report{Level: g.level.current(now), Load: load, Mean: g.mean}
+	if g.isAdaptive() {
+		report.Congestion = g.congestion.value(now)
+	}
+	return report
 }
 
 // HasRoom reports whether a slot is free and no request is waiting.
