Bound the wait of calls in progress at adaptive gates, earliest deadline first

Cause: calls in progress are served from the oldest and wait for up to 2 s, so that under a lasting overload all of them start at their last moment and the requests above, which make eight of them, end late or fail.

Change, at adaptive gates only: order by deadline and a wait of at most 0.3 of the time left.

--- a/internal/admitter/gate.go
+++ b/internal/admitter/gate.go
@@ -21,6 +21,9 @@
 	queueFactor = 2
 	// maxInProgressWait is the time that a call in progress may wait for a slot.
 	maxInProgressWait = 2 * time.Second
+	// inProgressWaitShare is the share of the time to its deadline that such a call may wait at an adaptive gate. Calls that
+	// wait longer use slots for requests above that mostly run out of time later.
+	inProgressWaitShare = 0.3
 	// refusalTime allows for the way of a refusal back to the caller before the request's deadline.
 	refusalTime = 25 * time.Millisecond
 	// latencyWeight is the weight of a new sample in the moving average of the request time.
@@ -160,7 +163,7 @@
 	}
 	w := g.enqueue(req, now)
 	g.dispatch(now)
-	wait := min(g.maxWait(req), w.lastStart.Sub(now))
+	wait := min(g.maxWait(req, now), w.lastStart.Sub(now))
 	g.mu.Unlock()
 	return g.await(ctx, w, wait)
 }
@@ -201,6 +204,7 @@
 	g.sequence++
 	w := &waiter{
 		req: req, sequence: g.sequence, decision: make(chan Decision, 1), fifo: g.fifo, enqueuedAt: now, lastStart: g.lastStart(req),
+		byDeadline: req.Rank == InProgress && g.isAdaptive(),
 	}
 	heap.Push(&g.queue, w)
 	g.limit.busy = true
@@ -209,7 +213,10 @@
 
 // maxWait returns how long a request may wait for a slot. A service whose typical request is short may also have long
 // requests, which tolerate a longer wait. The work spent above a call in progress is lost if it is shed.
-func (g *Gate) maxWait(req Request) time.Duration {
+func (g *Gate) maxWait(req Request, now time.Time) time.Duration {
+	if req.Rank == InProgress && g.isAdaptive() {
+		return min(maxInProgressWait, time.Duration(inProgressWaitShare*float64(req.Deadline.Sub(now))))
+	}
 	if req.Rank == InProgress {
 		return maxInProgressWait
 	}
--- a/internal/admitter/queue.go
+++ b/internal/admitter/queue.go
@@ -11,16 +11,22 @@
 	decision   chan Decision
 	index      int
 	fifo       bool
+	// byDeadline orders calls in progress by their deadlines.
+	byDeadline bool
 }
 
 // queue is a heap of waiters, ordered by rank from the highest and among equal ranks from the newest. Calls in progress
-// are ordered from the oldest, since each of them can still finish.
+// are ordered from the oldest, since each of them can still finish. At an adaptive gate those with the earliest deadline
+// come first: they belong to the requests on which the most work was spent.
 type queue []*waiter
 
 func (q queue) Len() int { return len(q) }
 
 func (q queue) Less(i, j int) bool {
 	a, b := q[i], q[j]
+	if a.byDeadline && b.byDeadline && !a.req.Deadline.Equal(b.req.Deadline) {
+		return a.req.Deadline.Before(b.req.Deadline)
+	}
 	if a.fifo || (a.req.Rank == InProgress && b.req.Rank == InProgress) {
 		return a.sequence < b.sequence
 	}
