Add the limiter of requests to congested services

Package retrier: DownstreamLimiter learns from responses which routes lead to a congested service and admits a share of their requests by rank. Congestions holds the values of the local upstream's own calls. The comparison of ranks moved from Throttle to recentRanks unchanged. Nothing uses them yet.

--- /dev/null
+++ b/internal/retrier/downstream_model_test.go
@@ -0,0 +1,342 @@
+package retrier
+
+import (
+	"context"
+	"encoding/binary"
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/lavenderhub/lavenderhub/internal/admitter"
+	"github.com/lavenderhub/lavenderhub/internal/timer"
+)
+
+// Dimensions of the modeled fleet. A tree makes modelGroups groups of calls at the same time, each of modelCalls calls one
+// after the other, to the service at the bottom.
+const (
+	modelEntries    = 4
+	modelNodes      = 4
+	modelSlots      = 16
+	modelGroups     = 2
+	modelCalls      = 4
+	modelAccounts   = 4
+	modelSlotsAbove = 120
+	modelCallTTL    = 700 * time.Millisecond
+	modelCallTime   = 59 * time.Millisecond
+	modelOwnTime    = 60 * time.Millisecond
+	modelTarget     = time.Second
+	modelTTL        = 3 * time.Second
+	modelCapacity   = modelNodes * modelSlots / (modelGroups * modelCalls * 0.059)
+)
+
+// modelKind is a kind of requests. Requests of kind shared use the upstreams of kind low, but make no nested calls.
+type modelKind struct {
+	name       string
+	importance uint32
+	isShared   bool
+	service    *modelService
+}
+
+type modelService struct {
+	name  string
+	nodes [modelNodes]modelNode
+}
+
+type modelNode struct {
+	gate   *admitter.Gate
+	nested Congestions
+	// errorShare is the share of requests that the upstream answers with an error.
+	errorShare float64
+}
+
+// modelResult counts the requests of one kind and account in one phase.
+type modelResult struct {
+	sent, good, late, failed, refused int
+}
+
+type modelKey struct {
+	phase   int
+	kind    string
+	account int
+}
+
+// model is a fleet of entry nodes, two services above and one service at the bottom, without a network.
+type model struct {
+	mu      sync.Mutex
+	rng     *rand.Rand
+	limited bool
+	entries [modelEntries]*DownstreamLimiter
+	bottom  *modelService
+	kinds   []modelKind
+	results map[modelKey]*modelResult
+}
+
+func newModel(limited bool) *model {
+	newService := func(name string, slots int) *modelService {
+		s := &modelService{name: name}
+		for i := range s.nodes {
+			s.nodes[i].gate = admitter.New(slots, timer.New(), nil, admitter.WithStaticLimit(), admitter.WithAdaptiveMode(admitter.AdaptiveOn))
+		}
+		return s
+	}
+	low := newService("low", modelSlotsAbove)
+	m := &model{
+		rng: rand.New(rand.NewPCG(1, 2)), limited: limited, bottom: newService("bottom", modelSlots), results: map[modelKey]*modelResult{},
+		kinds: []modelKind{
+			{name: "high", importance: 5, service: newService("high", modelSlotsAbove)},
+			{name: "low", importance: 2, service: low},
+			{name: "shared", importance: 2, service: low, isShared: true},
+		},
+	}
+	for i := range m.entries {
+		m.entries[i] = NewDownstreamLimiter()
+		m.entries[i].draw = m.float
+	}
+	return m
+}
+
+func (m *model) float() float64 {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.rng.Float64()
+}
+
+func (m *model) intN(n int) int {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.rng.IntN(n)
+}
+
+// pick returns the less loaded of two random nodes.
+func (m *model) pick(s *modelService) *modelNode {
+	a, b := &s.nodes[m.intN(modelNodes)], &s.nodes[m.intN(modelNodes)]
+	if b.gate.Report().Load < a.gate.Report().Load {
+		return b
+	}
+	return a
+}
+
+// report returns the congestion that a node's response carries.
+func (n *modelNode) report(service string, now time.Time) Congestion {
+	own := Congestion{Service: service, Value: n.gate.Report().Congestion, At: now}
+	if nested := n.nested.Highest(now); nested.Current(now) >= own.Value {
+		return nested
+	}
+	return own
+}
+
+// request sends one request and counts its result.
+func (m *model) request(phase int, k modelKind, account int) {
+	start := time.Now()
+	result := func(count func(*modelResult)) {
+		m.mu.Lock()
+		defer m.mu.Unlock()
+		key := modelKey{phase, k.name, account}
+		if m.results[key] == nil {
+			m.results[key] = &modelResult{}
+		}
+		m.results[key].sent++
+		count(m.results[key])
+	}
+	// The first account sends twice its rate.
+	demand := 1.0
+	if account == 0 {
+		demand = 2
+	}
+	rank := admitter.NewRank(k.importance, 0, binary.LittleEndian.AppendUint32(nil, uint32(m.float()*(1<<32))), demand, 1)
+	entry, route := m.entries[m.intN(modelEntries)], RouteName{k.service.name, k.name}
+	if m.limited {
+		if ok, _ := entry.Admit(route, uint32(rank), modelTarget, start); !ok {
+			result(func(r *modelResult) { r.refused++ })
+			return
+		}
+	}
+	node := m.pick(k.service)
+	ok, wasRun := m.run(k, node, rank)
+	now := time.Now()
+	took := now.Sub(start)
+	if wasRun {
+		entry.Observe(DownstreamResponse{
+			Route: route, Congestion: node.report(k.service.name, now), Failed: !ok, Slow: took > modelTarget/2, Start: start,
+		}, now)
+	}
+	result(func(r *modelResult) {
+		switch {
+		case !wasRun:
+			r.refused++
+		case !ok:
+			r.failed++
+		case took > modelTarget:
+			r.late++
+		default:
+			r.good++
+		}
+	})
+}
+
+// run runs a request at a node. It returns whether it succeeded, and whether it ran at all.
+func (m *model) run(k modelKind, n *modelNode, rank admitter.Rank) (ok, wasRun bool) {
+	start := time.Now()
+	ctx, cancel := context.WithDeadline(context.Background(), start.Add(modelTTL))
+	defer cancel()
+	ticket, d := n.gate.Admit(ctx, admitter.Request{Rank: rank, Deadline: start.Add(modelTTL), MaxWait: modelTarget / 4})
+	if d != admitter.Admitted {
+		return false, false
+	}
+	time.Sleep(modelOwnTime)
+	ok = m.float() >= n.errorShare
+	if !k.isShared && ok {
+		ok = m.runCalls(n, start.Add(modelTTL))
+	}
+	ticket.Done(admitter.Sample{Total: time.Since(start), Self: modelOwnTime})
+	return ok, true
+}
+
+// runCalls makes the calls of a tree and reports whether all of them succeeded.
+func (m *model) runCalls(n *modelNode, deadline time.Time) bool {
+	var group sync.WaitGroup
+	var failed [modelGroups]bool
+	for i := range modelGroups {
+		group.Go(func() {
+			for range modelCalls {
+				if !m.call(n, deadline) {
+					failed[i] = true
+					return
+				}
+			}
+		})
+	}
+	group.Wait()
+	return failed == [modelGroups]bool{}
+}
+
+func (m *model) call(from *modelNode, parentDeadline time.Time) bool {
+	to, deadline := m.pick(m.bottom), time.Now().Add(modelCallTTL)
+	if parentDeadline.Before(deadline) {
+		deadline = parentDeadline
+	}
+	ticket, d := to.gate.Admit(context.Background(), admitter.Request{Rank: admitter.InProgress, Deadline: deadline})
+	if d == admitter.Admitted {
+		runTime := time.Duration((0.5 + m.float()) * float64(modelCallTime))
+		time.Sleep(runTime)
+		ticket.Done(admitter.Sample{Total: runTime, Self: runTime})
+	}
+	now := time.Now()
+	from.nested.Record(to.report(m.bottom.name, now), now)
+	return d == admitter.Admitted && !now.After(deadline)
+}
+
+// play sends requests of all kinds at the given shares of the capacity of the bottom service, one phase after the other.
+func (m *model) play(shares []float64, length time.Duration) {
+	var group sync.WaitGroup
+	arrivals := rand.New(rand.NewPCG(3, 4))
+	for phase, share := range shares {
+		// Half of the trees are important, and there is one request of kind shared for each tree of its service.
+		rate := share * modelCapacity * 1.5
+		for start := time.Now(); time.Since(start) < length; {
+			time.Sleep(time.Duration(arrivals.ExpFloat64() / rate * float64(time.Second)))
+			kind, account := m.kinds[arrivals.IntN(len(m.kinds))], max(0, arrivals.IntN(modelAccounts+1)-1)
+			group.Go(func() { m.request(phase, kind, account) })
+		}
+	}
+	group.Wait()
+}
+
+// total sums the results of phases, of a kind or of all if it is empty, and of an account or of all if it is negative.
+func (m *model) total(from, to int, kind string, account int) modelResult {
+	var sum modelResult
+	for key, r := range m.results {
+		if key.phase >= from && key.phase < to && (kind == "" || key.kind == kind) && (account < 0 || key.account == account) {
+			sum.sent, sum.good, sum.late = sum.sent+r.sent, sum.good+r.good, sum.late+r.late
+			sum.failed, sum.refused = sum.failed+r.failed, sum.refused+r.refused
+		}
+	}
+	return sum
+}
+
+func (r modelResult) goodShare() float64 { return float64(r.good) / float64(max(1, r.sent)) }
+
+func (r modelResult) admittedShare() float64 { return 1 - float64(r.refused)/float64(max(1, r.sent)) }
+
+// TestOverloadOfBottomService guards against trees that fail or end late after work was spent on them, less important
+// requests that are admitted before more important ones, classes and accounts that get nothing, refusals of requests that
+// only share an upstream, and refusals that outlast the overload.
+func TestOverloadOfBottomService(t *testing.T) {
+	const (
+		length    = 500 * time.Millisecond
+		loadStart = 2
+		loadEnd   = 8
+		recovered = loadEnd + 4
+		end       = recovered + 3
+	)
+	tests := []struct {
+		load float64
+		// minGain is the least ratio of trees completed in time with and without the limiter.
+		minGain float64
+	}{{1, 1}, {1.4, 1.15}, {2, 1.15}}
+	for _, tt := range tests {
+		t.Run(fmt.Sprint(tt.load), func(t *testing.T) {
+			var good [2]int
+			for i, limited := range []bool{false, true} {
+				synctest.Test(t, func(t *testing.T) {
+					m := newModel(limited)
+					shares := slices.Repeat([]float64{0.7}, end)
+					for phase := loadStart; phase < loadEnd; phase++ {
+						shares[phase] = tt.load
+					}
+					m.play(shares, length)
+					high, low := m.total(loadStart, end, "high", -1), m.total(loadStart, end, "low", -1)
+					t.Logf("limited %v: high %+v, low %+v", limited, high, low)
+					good[i] = high.good + low.good
+					if limited {
+						m.check(t, loadStart, loadEnd, recovered, end)
+					}
+				})
+			}
+			if float64(good[1]) < tt.minGain*float64(good[0]) {
+				t.Errorf("%d trees in time with the limiter and %d without, want at least %v times as many", good[1], good[0], tt.minGain)
+			}
+		})
+	}
+}
+
+// check checks the order of importance, the minimum shares and the recovery.
+func (m *model) check(t *testing.T, loadStart, loadEnd, recovered, end int) {
+	high, low := m.total(loadStart, loadEnd, "high", -1), m.total(loadStart, loadEnd, "low", -1)
+	if high.goodShare() < low.goodShare() || high.admittedShare() < low.admittedShare() {
+		t.Errorf("important requests %+v, others %+v, want at least the same share", high, low)
+	}
+	all := m.total(loadStart, loadEnd, "", -1)
+	for account := range modelAccounts {
+		for _, kind := range []string{"high", "low"} {
+			if r := m.total(loadStart, loadEnd, kind, account); r.admittedShare() < minMeanShare*all.admittedShare() {
+				t.Errorf("account %d, kind %s: %+v, want at least a quarter of the mean share %.2f", account, kind, r, all.admittedShare())
+			}
+		}
+	}
+	if shared := m.total(0, end, "shared", -1); shared.refused > 0 {
+		t.Errorf("%d requests without nested calls were refused", shared.refused)
+	}
+	for _, k := range m.kinds {
+		if r := m.total(recovered, end, k.name, -1); r.refused > 0 {
+			t.Errorf("%d of %d requests of kind %s were refused 2 s after the load has ended", r.refused, r.sent, k.name)
+		}
+	}
+}
+
+// TestErrorsWithoutCongestion guards against refusals because of a faulty upstream.
+func TestErrorsWithoutCongestion(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		m := newModel(true)
+		m.kinds[1].service.nodes[0].errorShare = 0.32
+		m.play([]float64{0.7, 0.7, 0.7, 0.7}, time.Second)
+		all := m.total(0, 4, "", -1)
+		if all.refused > 0 || all.failed == 0 {
+			t.Errorf("%+v, want failures and no refusals", all)
+		}
+	})
+}
--- a/internal/retrier/throttle.go
+++ b/internal/retrier/throttle.go
@@ -16,8 +16,6 @@
 	throttleMinRequests = 10.0
 	// throttleMinShare is the share of requests that is always admitted, to detect that the service works again.
 	throttleMinShare = 0.1
-	// throttleRanks is the number of recent requests with whose ranks a request is compared.
-	throttleRanks = 64
 )
 
 // Throttle rejects requests to a service that fails most of them. Callers retry failed requests at any node, and each
@@ -27,8 +25,7 @@
 	requests  float64
 	successes float64
 	at        time.Time
-	ranks     [throttleRanks]uint32
-	seen      int
+	ranks     recentRanks
 	// draw returns a random number in [0, 1).
 	draw func() float64
 }
@@ -52,8 +49,7 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.decay(now)
-	t.ranks[t.seen%throttleRanks] = rank
-	t.seen++
+	t.ranks.add(rank)
 	if t.requests < throttleMinRequests {
 		return true
 	}
@@ -61,23 +57,7 @@
 	if excess <= 0 {
 		return true
 	}
-	recent := t.ranks[:min(t.seen, throttleRanks)]
-	return t.position(rank, recent) >= min(excess, 1-throttleMinShare)*float64(len(recent))
-}
-
-// position returns where a rank stands among recent ones. Equal ranks stand in random order, so that a share of them is
-// admitted.
-func (t *Throttle) position(rank uint32, recent []uint32) float64 {
-	lower, equal := 0, 0
-	for _, r := range recent {
-		switch {
-		case r < rank:
-			lower++
-		case r == rank:
-			equal++
-		}
-	}
-	return float64(lower) + t.draw()*float64(equal)
+	return t.ranks.position(rank, t.draw()) >= min(excess, 1-throttleMinShare)*float64(t.ranks.count())
 }
 
 // Count records a request that ran, and whether it succeeded.
