Refuse requests at their entry node while a service further down is full

Cause: when the service at the bottom of the call graph is full, whole trees fail after work was spent on them, and entry nodes admit more: calls in progress have no rank that a level could shed, and the failures of the trees are counted for the called service, whose throttle acts only once half of its requests fail.

Change: responses between nodes carry the highest congestion among the service and those that the upstream's own calls lead to (header Lavenderhub-Congestion, only above zero). The entry node passes the results of root calls to retrier.DownstreamLimiter and asks it before a token is taken. A failure that it counts is not counted by the throttle. Gauges may have labels now.

TestFailuresAreCountedOnce and TestCongestionHeader pass with the race detector.

--- a/internal/exporter/exporter.go
+++ b/internal/exporter/exporter.go
@@ -35,7 +35,7 @@
 	return err
 }
 
-// Labeled returns the registry's name of one of several counters that differ by a label.
+// Labeled returns the registry's name of one of several counters or gauges that differ by a label.
 func Labeled(name, label, value string) string {
 	return fmt.Sprintf("%s{%s=%q}", name, label, value)
 }
@@ -48,15 +48,15 @@
 	return name, ""
 }
 
-// formatMetric returns the lines of a metric, or nil if its type isn't supported. Only counters have labels.
+// formatMetric returns the lines of a metric, or nil if its type isn't supported. Timers have no labels.
 func formatMetric(name, labels string, metric any) []string {
 	switch m := metric.(type) {
 	case metrics.Counter:
 		return []string{fmt.Sprintf("%s_total%s %d", name, labels, m.Count())}
 	case metrics.Gauge:
-		return []string{fmt.Sprintf("%s %d", name, m.Value())}
+		return []string{fmt.Sprintf("%s%s %d", name, labels, m.Value())}
 	case metrics.GaugeFloat64:
-		return []string{fmt.Sprintf("%s %g", name, m.Value())}
+		return []string{fmt.Sprintf("%s%s %g", name, labels, m.Value())}
 	case metrics.Timer:
 		return formatTimer(name, m.Snapshot())
 	default:
--- a/internal/forwarder/attempt.go
+++ b/internal/forwarder/attempt.go
@@ -85,6 +85,10 @@
 	if report.hasRetryShare && c.fromLocalUpstream {
 		f.nestedRetryShares.Record(c.route.Service, report.retryShare, now)
 	}
+	c.congestion, c.hasReport = report.congestion.congestion(now), report.hasRetryShare
+	if c.fromLocalUpstream {
+		f.nestedCongestions.Record(c.congestion, now)
+	}
 	t.Finish(router.Result{
 		Latency:  now.Sub(start),
 		Failed:   unresponsive || isWorkerFault(ref),
--- a/internal/forwarder/call.go
+++ b/internal/forwarder/call.go
@@ -41,6 +41,13 @@
 	retryProbability float64
 	// fromLocalUpstream is set when the local upstream makes the call.
 	fromLocalUpstream bool
+	// dispatchedAt is when the call was admitted at its entry node. availableIn is the time after which a call that was
+	// refused for a service further down should come back.
+	dispatchedAt time.Time
+	availableIn  time.Duration
+	// congestion came with the last response, and hasReport reports whether that response had a report.
+	congestion retrier.Congestion
+	hasReport  bool
 	// mayHaveRun is set once a byte may have reached an upstream.
 	mayHaveRun bool
 }
--- a/internal/forwarder/forwarder.go
+++ b/internal/forwarder/forwarder.go
@@ -109,6 +109,9 @@
 	reportedRetryShares retrier.RetryShares
 	nestedRetryShares   retrier.RetryShares
 	retryLimit          retrier.RetryLimit
+	// nestedCongestions come with the responses to the local upstream's own calls.
+	nestedCongestions retrier.Congestions
+	downstream        *retrier.DownstreamLimiter
 	// hasRetryLimit is set when the settings give retryLimit.
 	hasRetryLimit bool
 	latencies     retrier.Latencies
@@ -154,6 +157,7 @@
 	}
 	f.stopped, f.endStop = context.WithCancelCause(context.Background())
 	f.meters = newMeters(parts.Registry)
+	f.downstream = f.newDownstreamLimiter()
 	parts.Registry.GetOrRegister("log.leftOut", metrics.NewFunctionalGauge(f.decisions.Dropped))
 	for _, opt := range opts {
 		opt(f)
@@ -212,6 +216,8 @@
 	upstreamTime metrics.Timer
 	accounts     *accountMeters
 	registry     metrics.Registry
+	// downstreamRefused counts the calls refused because a service further down is congested.
+	downstreamRefused metrics.Counter
 }
 
 func newMeters(r metrics.Registry) meters {
@@ -224,6 +230,8 @@
 		upstreamTime: metrics.GetOrRegisterTimer("gate.upstreamTime", r),
 		accounts:     &accountMeters{registry: r, byAccount: map[string]*accountMeter{}},
 		registry:     r,
+
+		downstreamRefused: metrics.GetOrRegisterCounter("downstream.refused", r),
 	}
 }
 
--- a/internal/forwarder/headers.go
+++ b/internal/forwarder/headers.go
@@ -24,6 +24,7 @@
 	headerSpent             = "Lavenderhub-Spent"
 	headerFinal             = "Lavenderhub-Final"
 	headerRetryShare        = "Lavenderhub-Repeats"
+	headerCongestion        = "Lavenderhub-Congestion"
 	headerIdempotencyKey    = "Idempotency-Key"
 	headerIdempotencyWindow = "Lavenderhub-Idempotency-Window"
 )
--- a/internal/forwarder/response.go
+++ b/internal/forwarder/response.go
@@ -26,6 +26,8 @@
 	// retryShare is the highest retry share among the service and the services that it calls.
 	retryShare    float64
 	hasRetryShare bool
+	// congestion is the highest one among the service and the services that it calls.
+	congestion congestionReport
 }
 
 // Values of the Lavenderhub-Final header, which keeps the previous hop from retrying.
@@ -43,6 +45,7 @@
 	if r.hasRetryShare {
 		h.Set(headerRetryShare, strconv.FormatFloat(r.retryShare, 'f', 4, 64))
 	}
+	r.congestion.write(h)
 	switch {
 	case r.shed:
 		h.Set(headerFinal, finalShed)
@@ -65,6 +68,7 @@
 	if x, err := strconv.ParseFloat(h.Get(headerRetryShare), 64); err == nil && x >= 0 {
 		report.retryShare, report.hasRetryShare = x, true
 	}
+	report.congestion = readCongestion(h)
 	report.final = h.Get(headerFinal) != ""
 	report.shed = h.Get(headerFinal) == finalShed
 	return report
--- a/internal/forwarder/root.go
+++ b/internal/forwarder/root.go
@@ -108,7 +108,7 @@
 	if ref == nil || ref.RetryAfter == 0 || ref.Outcome != refuser.NotRun || ref.Reason == refuser.RateLimited {
 		return ref
 	}
-	ref.RetryAfter = retrier.RetryAfter(retryCause(ref.Reason), c.route.ObjectiveLatency, 0, rand.Float64())
+	ref.RetryAfter = retrier.RetryAfter(retryCause(ref.Reason), c.route.ObjectiveLatency, c.availableIn, rand.Float64())
 	return ref
 }
 
@@ -256,6 +256,9 @@
 	if ref := contextRefusal(ctx, refuser.NotRun); ref != nil {
 		return nil, ref
 	}
+	if ref := f.refuseForDownstream(c); ref != nil {
+		return nil, ref
+	}
 	if ref := f.checkRecentFailures(c); ref != nil {
 		return nil, ref
 	}
@@ -268,6 +271,7 @@
 			return nil, ref
 		}
 	}
+	c.dispatchedAt = f.Timer.Now()
 	resp, ref := f.dispatchOnce(ctx, key, c)
 	f.Assert.Check(asserter.RetriesBounded, c.retryBudget.Spent() <= c.route.Retries, "")
 	f.recordRootResult(c, resp, ref)
@@ -276,6 +280,8 @@
 
 // recordRootResult records whether a root call succeeded. It ignores calls that were not run or that the caller canceled.
 func (f *Forwarder) recordRootResult(c *call, resp *response, ref *refuser.Refusal) {
+	now := f.Timer.Now()
+	isCongestion := f.observeDownstream(c, resp, ref, now)
 	if ref != nil && (!ref.MayHaveRun() || ref.Reason == refuser.CallerLeft) {
 		return
 	}
@@ -283,9 +289,10 @@
 		// A lack of capacity is reported by admission levels and is not counted as a failure.
 		return
 	}
-	now := f.Timer.Now()
 	failed := isFailure(resp, ref)
-	f.throttles.Of(c.route.Service).Count(!failed, now)
+	if !isCongestion {
+		f.throttles.Of(c.route.Service).Count(!failed, now)
+	}
 	if failed {
 		f.clientRetries.Remember(c.digest(), now)
 	}
--- a/internal/forwarder/upstream.go
+++ b/internal/forwarder/upstream.go
@@ -95,6 +95,7 @@
 	return hopReport{
 		level: max(uint32(gate.Level), nested.level), load: gate.Load, spentRetries: c.retryBudget.Spent(), hasSpentRetries: true,
 		retryShare: max(f.retryMeterOf(up.Service).Share(now), f.nestedRetryShares.Highest(now)), hasRetryShare: true,
+		congestion: f.newCongestionReport(up, gate, now),
 	}
 }
 
--- a/internal/retrier/congested_service.go
+++ b/internal/retrier/congested_service.go
@@ -99,8 +99,8 @@
 	return oldest
 }
 
-// observe counts a response.
-func (s *congestedService) observe(r DownstreamResponse, now time.Time) {
+// observe counts a response. It reports whether the response was affected by the service.
+func (s *congestedService) observe(r DownstreamResponse, now time.Time) bool {
 	value := 0.0
 	if r.Congestion.Service == s.name {
 		value = r.Congestion.Current(now)
@@ -119,7 +119,7 @@
 		route.record(false, now)
 	}
 	if !s.isDependent(r.Route, now) {
-		return
+		return affected
 	}
 	s.decay(now)
 	if !r.Failed {
@@ -131,6 +131,7 @@
 	} else {
 		s.before.add(affected)
 	}
+	return affected
 }
 
 // update changes the share if the current interval has ended. It returns whether the interval has.
--- a/internal/retrier/downstream_limiter.go
+++ b/internal/retrier/downstream_limiter.go
@@ -68,21 +68,23 @@
 	Start time.Time
 }
 
-// Observe counts a response.
-func (l *DownstreamLimiter) Observe(r DownstreamResponse, now time.Time) {
+// Observe counts a response. It reports whether the response counts as affected by a congested service.
+func (l *DownstreamLimiter) Observe(r DownstreamResponse, now time.Time) bool {
 	isNew := (r.Failed || r.Slow) && r.Congestion.Current(now) > 0
 	if l.tracked.Load() == 0 && !isNew {
-		return
+		return false
 	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if isNew {
 		l.track(r.Congestion.Service, now)
 	}
+	affected := false
 	for _, s := range l.services {
-		s.observe(r, now)
+		affected = s.observe(r, now) || affected
 	}
 	l.update(now)
+	return affected
 }
 
 // track adds a service. If there are too many, it is left out until another one is free.
@@ -104,6 +106,9 @@
 	if l.tracked.Load() == 0 {
 		return true, 0
 	}
+	if objective <= 0 {
+		objective = defaultObjective
+	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.update(now)
