Let the share of a congested service follow nodes that see few requests

Cause: with eight or more entry nodes in the model, of ten to thirty requests a second each, intervals with few responses were extended to a second even when none was affected, and shares doubled their steps at a lasting overload.

Change: only an interval with an affected response is extended; three responses suffice; beyond 0.9 of the sustainable share steps of 0.03, and of 0.2 once no response reports congestion and demand has fallen or none was affected for a second.

--- a/internal/retrier/congested_service.go
+++ b/internal/retrier/congested_service.go
@@ -6,27 +6,33 @@
 )
 
 const (
-	// shareInterval is the shortest time between two changes of a share. While responses report congestion, an interval with
-	// fewer than minShareResponses is extended to maxShareInterval, so that a share does not follow random variation.
+	// shareInterval is the shortest time between two changes of a share. An interval with an affected response and fewer than
+	// minShareResponses in all is extended to maxShareInterval, so that a share does not follow random variation. With five in
+	// place of three, nodes that see 10 requests a second react too late.
 	shareInterval     = 200 * time.Millisecond
 	maxShareInterval  = time.Second
-	minShareResponses = 5
+	minShareResponses = 3
 	// minDownstreamShare is the share of dependent requests that is always admitted, to detect that the service is free.
 	minDownstreamShare = 0.1
 	// shareDecrease is the part of the affected share by which the admitted share is lowered, and drainShare the part of the
 	// sustainable share below which it is not lowered: that leaves four tenths of the capacity to shorten the queue.
-	shareDecrease = 0.6
+	shareDecrease = 0.8
 	drainShare    = 0.6
 	// settleTime is how long a lower share takes to shorten the queue of a full service. If responses still report a high
 	// congestion by then, the share is lowered again before the first of the requests admitted under it have ended.
 	settleTime = 600 * time.Millisecond
 	// highCongestion is the reported congestion from which a share is not raised beyond what the service can sustain.
 	highCongestion = 0.5
-	// shareStep is the step by which a share is raised, and fastStep the step while no response reports congestion or the
-	// share is below probeShare of what the service can sustain. From the lowest share, all is admitted again in a second.
-	shareStep  = 0.02
+	// shareStep is the step by which a share is raised, and fastStep the step below probeShare of what the service can
+	// sustain. At a lasting overload larger steps than shareStep overshoot before the first responses show it.
+	shareStep  = 0.03
 	fastStep   = 0.2
 	probeShare = 0.9
+	// The overload counts as ended once no response reports congestion and either the demand is below endShare of that at the
+	// last decrease or no response was affected for endTime. The share is then raised by fastStep, so that all but
+	// single requests are admitted again two seconds after the load has ended.
+	endShare = 0.75
+	endTime  = time.Second
 	// sustainableDecay is the time constant of the counts by which the sustainable share is estimated.
 	sustainableDecay = time.Second
 	// maxIdleIntervals bounds the steps that are made up for in one call after a time without requests.
@@ -54,11 +60,11 @@
 	reported   Congestion
 	affectedAt time.Time
 	// arrived and succeeded are the decayed numbers of dependent requests that arrived at the node, and that succeeded.
-	// capacity is the latter when the share was last lowered: while a service is full, requests succeed at the rate that it
-	// can sustain.
+	// demand and capacity are the two when the share was last lowered: while a service is full, requests succeed at the rate
+	// that it can sustain.
 	arrived, succeeded float64
 	decayedAt          time.Time
-	capacity           float64
+	demand, capacity   float64
 	// limited is set from the first time that the share is lowered until the service is free again.
 	limited bool
 	routes  [maxDependentRoutes]dependentRoute
@@ -140,8 +146,8 @@
 	if elapsed < shareInterval {
 		return false
 	}
-	value := s.reported.Current(now)
-	if value > 0 && s.before.all+s.after.all < minShareResponses && elapsed < maxShareInterval {
+	isAffected := s.before.affected+s.after.affected > 0
+	if isAffected && s.before.all+s.after.all < minShareResponses && elapsed < maxShareInterval {
 		return false
 	}
 	s.decay(now)
@@ -152,7 +158,7 @@
 	case s.before.affected > 0:
 		s.lower(s.before)
 	default:
-		s.raise(value, min(int(elapsed/shareInterval), maxIdleIntervals))
+		s.raise(s.reported.Current(now), min(int(elapsed/shareInterval), maxIdleIntervals))
 	}
 	s.intervalStart, s.before, s.after = now, responseCount{}, responseCount{}
 	return true
@@ -160,7 +166,7 @@
 
 // lower lowers the share for the affected ones among the counted responses.
 func (s *congestedService) lower(c responseCount) {
-	s.capacity = s.succeeded
+	s.capacity, s.demand = s.succeeded, s.arrived
 	floor := max(minDownstreamShare, drainShare*s.sustainable())
 	s.share = min(s.share, max(floor, s.base*(1-c.decrease())))
 }
@@ -174,12 +180,12 @@
 func (s *congestedService) raise(value float64, intervals int) {
 	target := probeShare * s.sustainable()
 	switch {
-	case value <= 0:
-		s.share = min(1, s.share+fastStep*float64(intervals))
 	case s.share < target:
-		s.share = min(target, s.share+fastStep)
+		s.share = min(target, s.share+fastStep*float64(intervals))
+	case value <= 0 && (s.arrived < endShare*s.demand || s.intervalStart.Sub(s.affectedAt) >= endTime):
+		s.share = min(1, s.share+fastStep*float64(intervals))
 	case value < highCongestion:
-		s.share = min(1, s.share+shareStep)
+		s.share = min(1, s.share+shareStep*float64(intervals))
 	}
 }
 
