--- a/internal/retrier/downstream_model_test.go
+++ b/internal/retrier/downstream_model_test.go
@@ -91,7 +91,8 @@
 	}
 	low := newService("low", modelSlotsAbove)
 	m := &model{
-		rng: rand.New(rand.NewPCG(seed, 2)), limited: limited, seed: seed, bottom: newService("bottom", modelSlots), results: map[modelKey]*modelResult{},
+		rng: rand.New(rand.NewPCG(seed, 2)), limited: limited, seed: seed, bottom: newService("bottom", modelSlots),
+		results: map[modelKey]*modelResult{},
 		kinds: []modelKind{
 			{name: "high", importance: 5, service: newService("high", modelSlotsAbove)},
 			{name: "low", importance: 2, service: low},
