--- a/internal/admitter/gate.go
+++ b/internal/admitter/gate.go
@@ -21,6 +21,9 @@
 	queueFactor = 2
 	// maxInProgressWait is the time that a call in progress may wait for a slot.
 	maxInProgressWait = 2 * time.Second
+	// inProgressWaitShare is the share of the time to its deadline that such a call may wait at an adaptive gate. Calls that
+	// wait longer use slots for requests above that mostly run out of time later.
+	inProgressWaitShare = 0.3
 	// refusalTime allows for the way of a refusal back to the caller before the request's deadline.
 	refusalTime = 25 * time.Millisecond
 	// latencyWeight is the weight of a new sample in the moving average of the request time.
@@ -79,6 +82,7 @@
 	adaptive      AdaptiveMode
 	// reportsSlowdown reports whether the upstream has reported a slowdown of its host.
 	reportsSlowdown bool
+	congestion      congestionMeter
 }
 
 // Option configures a Gate.
@@ -152,13 +156,14 @@
 		return Ticket{}, d
 	}
 	if g.unlimited || (g.queue.Len() == 0 && g.inflight < g.limit.current()) {
+		g.congestion.record(false, now)
 		g.start()
 		g.mu.Unlock()
 		return Ticket{gate: g}, Admitted
 	}
 	w := g.enqueue(req, now)
 	g.dispatch(now)
-	wait := min(g.maxWait(req), w.lastStart.Sub(now))
+	wait := min(g.maxWait(req, now), w.lastStart.Sub(now))
 	g.mu.Unlock()
 	return g.await(ctx, w, wait)
 }
@@ -177,10 +182,12 @@
 	case req.Deadline.Sub(now) < g.mean/2:
 		return DeadlineExceeded
 	case !g.fifo && req.Rank < g.level.current(now):
+		g.congestion.record(true, now)
 		g.level.recordShed(req.Rank, now)
 		return Shed
 	case g.queue.Len() >= g.limit.slots*maxQueuedPerSlot:
 		g.queueShed = true
+		g.congestion.record(true, now)
 		g.level.recordShed(req.Rank, now)
 		return Shed
 	}
@@ -197,6 +204,7 @@
 	g.sequence++
 	w := &waiter{
 		req: req, sequence: g.sequence, decision: make(chan Decision, 1), fifo: g.fifo, enqueuedAt: now, lastStart: g.lastStart(req),
+		byDeadline: req.Rank == InProgress && g.isAdaptive(),
 	}
 	heap.Push(&g.queue, w)
 	g.limit.busy = true
@@ -205,7 +213,10 @@
 
 // maxWait returns how long a request may wait for a slot. A service whose typical request is short may also have long
 // requests, which tolerate a longer wait. The work spent above a call in progress is lost if it is shed.
-func (g *Gate) maxWait(req Request) time.Duration {
+func (g *Gate) maxWait(req Request, now time.Time) time.Duration {
+	if req.Rank == InProgress && g.isAdaptive() {
+		return min(maxInProgressWait, time.Duration(inProgressWaitShare*float64(req.Deadline.Sub(now))))
+	}
 	if req.Rank == InProgress {
 		return maxInProgressWait
 	}
@@ -240,9 +251,13 @@
 		return Ticket{gate: g}, <-w.decision
 	}
 	heap.Remove(&g.queue, w.index)
+	now := g.timer.Now()
+	if d == Canceled {
+		g.congestion.recordWait(w, now)
+	}
 	if d == Shed {
-		now := g.timer.Now()
 		g.queueShed = true
+		g.congestion.record(true, now)
 		g.level.recordShed(w.req.Rank, now)
 		if !now.Before(w.lastStart) {
 			d = DeadlineExceeded
@@ -291,15 +306,18 @@
 	for g.queue.Len() > 0 && g.inflight < g.limit.current() {
 		w := heap.Pop(&g.queue).(*waiter)
 		if now.After(g.lastStart(w.req)) {
+			g.congestion.record(true, now)
 			w.decision <- DeadlineExceeded
 			continue
 		}
 		if !g.fifo && w.req.Rank < g.level.shedFloor(now) {
+			g.congestion.record(true, now)
 			g.level.recordShed(w.req.Rank, now)
 			w.decision <- Shed
 			continue
 		}
 		g.checkOrder(w)
+		g.congestion.recordWait(w, now)
 		g.start()
 		w.decision <- Admitted
 	}
@@ -376,6 +394,9 @@
 	Load float64
 	// Mean is the mean request time.
 	Mean time.Duration
+	// Congestion is the share of calls in the last 0.2 s that were refused for lack of capacity or waited for long. It is
+	// zero if the gate is not adaptive.
+	Congestion float64
 }
 
 // Report returns the gate's current state.
@@ -385,7 +406,11 @@
 	now := g.timer.Now()
 	g.endWindow(now)
 	load := float64(g.inflight+g.queue.Len()) / float64(g.limit.current())
-	return Report{Level: g.level.current(now), Load: load, Mean: g.mean}
+	report := Report{Level: g.level.current(now), Load: load, Mean: g.mean}
+	if g.isAdaptive() {
+		report.Congestion = g.congestion.value(now)
+	}
+	return report
 }
 
 // HasRoom reports whether a slot is free and no request is waiting.
--- a/internal/forwarder/headers.go
+++ b/internal/forwarder/headers.go
@@ -25,6 +25,7 @@
 	headerFinal             = "Lavenderhub-Final"
 	headerRetryShare        = "Lavenderhub-Repeats"
 	headerSuspended         = "Lavenderhub-Suspended-Ms"
+	headerCongestion        = "Lavenderhub-Congestion"
 	headerIdempotencyKey    = "Idempotency-Key"
 	headerIdempotencyWindow = "Lavenderhub-Idempotency-Window"
 )
--- a/internal/forwarder/response.go
+++ b/internal/forwarder/response.go
@@ -29,6 +29,8 @@
 	hasRetryShare bool
 	// suspendedFor is the time for which the sender should avoid the upstream.
 	suspendedFor time.Duration
+	// congestion is the highest one among the service and the services that it calls.
+	congestion congestionReport
 }
 
 // Values of the Lavenderhub-Final header, which keeps the previous hop from retrying.
@@ -49,6 +51,7 @@
 	if r.suspendedFor > 0 {
 		h.Set(headerSuspended, strconv.FormatInt(max(1, r.suspendedFor.Milliseconds()), 10))
 	}
+	r.congestion.write(h)
 	switch {
 	case r.shed:
 		h.Set(headerFinal, finalShed)
@@ -74,6 +77,7 @@
 	if ms, err := strconv.ParseUint(h.Get(headerSuspended), 10, 31); err == nil {
 		report.suspendedFor = time.Duration(ms) * time.Millisecond
 	}
+	report.congestion = readCongestion(h)
 	report.final = h.Get(headerFinal) != ""
 	report.shed = h.Get(headerFinal) == finalShed
 	return report
