Refuse a response without a length whose connection was reset

Cause: Linux reports the reset of a connection once, to the goroutine that reads or to the one that writes. With a long upload in progress the writer got the error, and the reader saw an ordinary end of the stream, which also is the end of a response without a length. The same holds for a short request, whose write fails before the response is read.

Ruled out: responses with a length or in chunks, which show their own end.

Change: type stream reads and writes a connection of package exchanger. An end of the stream is io.EOF only if no write had an error. At the end a write that is in progress is interrupted, since it may hold an error that is not known yet; the connection is not used again after its end.

Complete responses with a length or chunks, and those of an upstream that ends only its side of the connection, are still delivered.

--- a/internal/exchanger/conn.go
+++ b/internal/exchanger/conn.go
@@ -29,8 +29,9 @@
 }
 
 func newConn(raw net.Conn, p *Pool) *conn {
+	stream := &stream{Conn: raw}
 	c := &conn{
-		Conn: raw, pool: p, bounded: &boundedReader{Reader: raw}, writer: bufio.NewWriterSize(raw, writeBufferSize),
+		Conn: raw, pool: p, bounded: &boundedReader{Reader: stream}, writer: bufio.NewWriterSize(stream, writeBufferSize),
 		idleTimeout: IdleTimeout,
 	}
 	c.unboundHead()
--- a/internal/runner/platform_test.go
+++ b/internal/runner/platform_test.go
@@ -92,6 +92,10 @@
 			w.respondBeforeBody(c, r)
 			continue
 		}
+		if strings.HasSuffix(r.URL.Path, "/early-reset") {
+			w.respondAndReset(c, r)
+			return
+		}
 		body, err := io.ReadAll(r.Body)
 		if err != nil || !w.respond(c, r, body) {
 			return
