Refuse a response with an invalid status line

Cause: net/http parses any three characters that strconv takes for a number from 0 on. A status below 100 was taken for that of an interim response, so that the bytes after it were awaited, or taken, as the response. A status over 599, control bytes in the reason and other major versions of HTTP were passed on.

Change: package exchanger reads a head completely before net/http parses it, and checks its status line. The head stays in the read buffer, which grows for a head over 4 KB and shrinks before the connection is used again. An invalid one ends the attempt at once with 502 and closes the connection. RFC 9110, section 15, has a client treat such a status as one of the class 5xx, which the 502 is.

Bounds of a head as before (TestUnendingBytesEndTheAttempt, TestHeadOfTheLargestSizeIsRead).

--- a/internal/exchanger/exchange.go
+++ b/internal/exchanger/exchange.go
@@ -177,14 +177,10 @@
 	if err := c.checkHeadStart(); err != nil {
 		return nil, err
 	}
-	start, _ := c.reader.Peek(min(c.reader.Buffered(), maxQuotedBytes))
-	var quoted [maxQuotedBytes]byte
-	n := copy(quoted[:], start)
-	resp, err := http.ReadResponse(c.reader, req)
-	if err != nil && c.bounded.left <= 0 {
-		return nil, &HeadError{Read: maxHeadBytes, Start: string(quoted[:n])}
+	if err := c.checkNextHead(); err != nil {
+		return nil, err
 	}
-	return resp, err
+	return http.ReadResponse(c.reader, req)
 }
 
 // isUnframed reports whether the end of the response body is marked only by the end of the connection.
--- a/internal/exchanger/head.go
+++ b/internal/exchanger/head.go
@@ -1,6 +1,8 @@
 package exchanger
 
 import (
+	"bufio"
+	"bytes"
 	"fmt"
 	"io"
 	"math"
@@ -77,3 +79,48 @@
 	}
 	return nil
 }
+
+// checkNextHead waits for the next head and checks it. The head stays in the reader, whose buffer grows up to the limit of a head.
+func (c *conn) checkNextHead() error {
+	for lastLine := 0; ; {
+		data, _ := c.reader.Peek(c.reader.Buffered())
+		end := 0
+		if end, lastLine = findHeadEnd(data, lastLine); end > 0 {
+			return checkHead(data[:end])
+		}
+		if len(data) == c.reader.Size() && len(data) < maxHeadBytes {
+			c.growReader(data)
+			continue
+		}
+		if _, err := c.reader.Peek(len(data) + 1); err != nil {
+			return c.headError(data, err)
+		}
+	}
+}
+
+// growReader doubles the size of the reader's buffer, which is full with data.
+func (c *conn) growReader(data []byte) {
+	buffered := bytes.NewReader(bytes.Clone(data))
+	c.reader = bufio.NewReaderSize(io.MultiReader(buffered, c.bounded), min(2*len(data), maxHeadBytes))
+	// The buffer has room for the data, and reading it can't fail.
+	_, _ = c.reader.Peek(len(data))
+}
+
+// shrinkReader replaces a buffer that has grown, once it is empty.
+func (c *conn) shrinkReader() {
+	if c.reader.Size() > readBufferSize {
+		c.reader = bufio.NewReaderSize(c.bounded, readBufferSize)
+	}
+}
+
+// headError returns the error for a head of which only data arrived.
+func (c *conn) headError(data []byte, err error) error {
+	switch {
+	case c.bounded.left <= 0:
+		return &HeadError{Read: maxHeadBytes, Start: string(data[:min(len(data), maxQuotedBytes)])}
+	case err == io.EOF:
+		return io.ErrUnexpectedEOF
+	default:
+		return err
+	}
+}
--- a/internal/exchanger/pool.go
+++ b/internal/exchanger/pool.go
@@ -99,6 +99,7 @@
 
 // put returns a connection to the pool.
 func (p *Pool) put(c *conn) {
+	c.shrinkReader()
 	c.lastUsed = p.timer.Now()
 	c.expires = c.lastUsed.Add(c.idleTimeout)
 	p.mu.Lock()
--- a/internal/forwarder/attempt.go
+++ b/internal/forwarder/attempt.go
@@ -13,7 +13,6 @@
 	"github.com/lavenderhub/lavenderhub/internal/asserter"
 	"github.com/lavenderhub/lavenderhub/internal/authenticator"
 	"github.com/lavenderhub/lavenderhub/internal/dialer"
-	"github.com/lavenderhub/lavenderhub/internal/exchanger"
 	"github.com/lavenderhub/lavenderhub/internal/refuser"
 	"github.com/lavenderhub/lavenderhub/internal/router"
 	"github.com/lavenderhub/lavenderhub/schema"
@@ -260,8 +259,8 @@
 
 // errorText returns an error's text for callers. It hides network errors, which contain internal addresses.
 func errorText(err error) string {
-	if head := (*exchanger.HeadError)(nil); errors.As(err, &head) {
-		return head.Summary()
+	if invalid := (interface{ Summary() string })(nil); errors.As(err, &invalid) {
+		return invalid.Summary()
 	}
 	switch err {
 	case errTruncated, errUnframed, io.ErrUnexpectedEOF:
--- a/internal/runner/platform_incomplete_test.go
+++ b/internal/runner/platform_incomplete_test.go
@@ -9,6 +9,19 @@
 	"time"
 )
 
+// invalidResponses are responses by the last segment of the path. HEAD stands for the headers that each response has.
+var invalidResponses = map[string]string{
+	"status-000":        "HTTP/1.1 000 None\r\nHEADContent-Length: 5\r\n\r\nhello",
+	"status-000-empty":  "HTTP/1.1 000 None\r\nHEADContent-Length: 0\r\n\r\n",
+	"status-000-first":  "HTTP/1.1 000 None\r\n\r\nHTTP/1.1 200 OK\r\nHEADContent-Length: 5\r\n\r\nhello",
+	"status-099":        "HTTP/1.1 099 Early\r\n\r\nHTTP/1.1 200 OK\r\nHEADContent-Length: 5\r\n\r\nhello",
+	"status-600":        "HTTP/1.1 600 Late\r\nHEADContent-Length: 5\r\n\r\nhello",
+	"status-999":        "HTTP/1.1 999 Last\r\nHEADContent-Length: 5\r\n\r\nhello",
+	"status-plus":       "HTTP/1.1 +20 Plus\r\n\r\nHTTP/1.1 200 OK\r\nHEADContent-Length: 5\r\n\r\nhello",
+	"version-2":         "HTTP/2.0 200 OK\r\nHEADContent-Length: 5\r\n\r\nhello",
+	"control-in-reason": "HTTP/1.1 200 O\x01K\r\nHEADContent-Length: 5\r\n\r\nhello",
+}
+
 // respondAndReset answers a request before its body is read with a part of a response without a length, and resets the connection
 // while the body is still being sent.
 func (w *platformWorker) respondAndReset(c net.Conn, r *http.Request) {
@@ -40,3 +53,22 @@
 		}
 	}
 }
+
+// TestPlatformInvalidResponseReachesCaller guards against a response that breaks the syntax of HTTP and reaches a caller, or keeps it
+// waiting until its deadline.
+func TestPlatformInvalidResponseReachesCaller(t *testing.T) {
+	f := startServingPlatformFleet(t)
+	for kind := range invalidResponses {
+		for node := range f.nodes {
+			id := fmt.Sprintf("%s-%d", kind, node)
+			start := time.Now()
+			got := f.send(node, http.MethodPost, "/one/"+kind, "key-a", id, "x")
+			if got.status != http.StatusBadGateway || f.workers[1].runCount(id) != 1 {
+				t.Errorf("%s: status %d, body %q, %v, after %d runs; want 502", id, got.status, got.body, got.err, f.workers[1].runCount(id))
+			}
+			if took := time.Since(start); took > time.Second {
+				t.Errorf("%s: the attempt ended after %v, want at once", id, took)
+			}
+		}
+	}
+}
--- a/internal/runner/platform_test.go
+++ b/internal/runner/platform_test.go
@@ -142,6 +142,10 @@
 	w.runCounts[id]++
 	w.mu.Unlock()
 	head := "X-Attempt-Id: " + id + "\r\nX-Server-Stamp: stamp-" + instance + "\r\n"
+	if text, ok := invalidResponses[kind]; ok {
+		fmt.Fprint(c, strings.ReplaceAll(text, "HEAD", head))
+		return true
+	}
 	switch kind {
 	case "failed":
 		fmt.Fprintf(c, "HTTP/1.1 500 Internal Server Error\r\n%sContent-Length: 4\r\n\r\noops", head)
