Refuse a response with an invalid field

Cause: net/http keeps field names with spaces, and joins a line that begins with a space or a tab to the one before. Such a line reached the caller as a part of another field. A length or an encoding with a space before its colon was not applied, and chunks of HTTP/1.0 were not decoded, so that the caller got a cut body or the chunks themselves as a complete one. Between nodes, a trailer with such a name kept the caller waiting until the deadline.

Change: names have to be tokens, values have no control bytes other than tabs, in heads, interim responses and trailers. A continued line is refused, as RFC 9112, section 5.2, permits, and chunks of HTTP/1.0 are (section 6.1).

--- a/internal/exchanger/exchange.go
+++ b/internal/exchanger/exchange.go
@@ -1,6 +1,7 @@
 package exchanger
 
 import (
+	"cmp"
 	"context"
 	"io"
 	"net/http"
@@ -78,7 +79,7 @@
 		return nil, x, c.fail(ctx, stop, errors.Wrap(err, "read the answer"))
 	}
 	resp.Body = &body{
-		ReadCloser: resp.Body, conn: c, ctx: ctx, stop: stop, writer: writer,
+		ReadCloser: resp.Body, resp: resp, conn: c, ctx: ctx, stop: stop, writer: writer,
 		closeAfter: match != Own || sendErr != nil || resp.Close || isUnframed(resp),
 	}
 	c.applyKeepAlive(resp.Header)
@@ -205,6 +206,7 @@
 // body is a response body. When it is read to its end without an error, the connection returns to the pool.
 type body struct {
 	io.ReadCloser
+	resp       *http.Response
 	conn       *conn
 	ctx        context.Context
 	stop       func() bool
@@ -220,7 +222,8 @@
 		return n, err
 	}
 	if err == io.EOF {
-		b.finish(true)
+		err = cmp.Or(checkTrailer(b.resp.Trailer), io.EOF)
+		b.finish(err == io.EOF)
 		return n, err
 	}
 	b.finish(false)
--- a/internal/exchanger/head_check.go
+++ b/internal/exchanger/head_check.go
@@ -1,11 +1,17 @@
 package exchanger
 
-import "bytes"
+import (
+	"bytes"
+	"net/http"
+	"strings"
+)
 
 const (
 	// minStatus and maxStatus bound the valid status codes (RFC 9110, section 15).
 	minStatus = 100
 	maxStatus = 599
+	// tokenMarks are the bytes of a token other than letters and digits.
+	tokenMarks = "!#$%&'*+-.^_`|~"
 )
 
 // findHeadEnd looks for the empty line that ends a head, from the start of a line on. It returns the length of the head, or zero and
@@ -31,8 +37,46 @@
 
 // checkHead checks the lines of a complete head. net/http accepts heads that other recipients read differently.
 func checkHead(head []byte) error {
-	statusLine, _, _ := bytes.Cut(head, []byte("\n"))
-	return checkStatusLine(trimLineEnd(statusLine))
+	statusLine, fields, _ := bytes.Cut(head, []byte("\n"))
+	statusLine = trimLineEnd(statusLine)
+	if err := checkStatusLine(statusLine); err != nil {
+		return err
+	}
+	hasChunks := bytes.HasPrefix(statusLine, []byte("HTTP/1.1"))
+	for line := range bytes.Lines(fields) {
+		if line = trimLineEnd(line); len(line) == 0 {
+			break
+		}
+		name, value, ok := bytes.Cut(line, []byte(":"))
+		switch {
+		case !ok || !isToken(name):
+			// This includes a line that continues the one before. A gateway may refuse it (RFC 9112, section 5.2). Taken as a
+			// continuation, a length after a space would become a part of another field.
+			return newInvalidError("field name", line)
+		case !isFieldValue(value):
+			return newInvalidError("field value", line)
+		case !hasChunks && bytes.EqualFold(name, []byte("Transfer-Encoding")):
+			// net/http would take the chunks for the body (RFC 9112, section 6.1).
+			return newInvalidError("transfer encoding", line)
+		}
+	}
+	return nil
+}
+
+// checkTrailer checks the fields that followed the chunks of a response. net/http keeps names with spaces.
+func checkTrailer(trailer http.Header) error {
+	for name, values := range trailer {
+		// A name without values is only announced.
+		if len(values) > 0 && !isToken(name) {
+			return newInvalidError("trailer name", []byte(name))
+		}
+		for _, value := range values {
+			if !isFieldValue(value) {
+				return newInvalidError("trailer value", []byte(value))
+			}
+		}
+	}
+	return nil
 }
 
 // checkStatusLine checks a status line. The reason may be missing, with the space before it.
@@ -65,6 +109,19 @@
 	return n >= minStatus && n <= maxStatus
 }
 
+// isToken reports whether a text is a token (RFC 9110, section 5.6.2).
+func isToken[T []byte | string](text T) bool {
+	for i := range len(text) {
+		b := text[i]
+		isLetter := (b|0x20) >= 'a' && (b|0x20) <= 'z'
+		isDigit := b >= '0' && b <= '9'
+		if !isLetter && !isDigit && strings.IndexByte(tokenMarks, b) < 0 {
+			return false
+		}
+	}
+	return len(text) > 0
+}
+
 // isFieldValue reports whether a text has no control bytes other than tabs.
 func isFieldValue[T []byte | string](text T) bool {
 	for i := range len(text) {
--- a/internal/runner/platform_incomplete_test.go
+++ b/internal/runner/platform_incomplete_test.go
@@ -20,6 +20,18 @@
 	"status-plus":       "HTTP/1.1 +20 Plus\r\n\r\nHTTP/1.1 200 OK\r\nHEADContent-Length: 5\r\n\r\nhello",
 	"version-2":         "HTTP/2.0 200 OK\r\nHEADContent-Length: 5\r\n\r\nhello",
 	"control-in-reason": "HTTP/1.1 200 O\x01K\r\nHEADContent-Length: 5\r\n\r\nhello",
+	"space-in-name":     "HTTP/1.1 200 OK\r\nHEADNa me: value\r\nContent-Length: 5\r\n\r\nhello",
+	"space-after-name":  "HTTP/1.1 200 OK\r\nHEADName : value\r\nContent-Length: 5\r\n\r\nhello",
+	"space-before-name": "HTTP/1.1 200 OK\r\nHEAD Name: value\r\nContent-Length: 5\r\n\r\nhello",
+	"tab-before-name":   "HTTP/1.1 200 OK\r\nHEAD\tName: value\r\nContent-Length: 5\r\n\r\nhello",
+	"control-in-name":   "HTTP/1.1 200 OK\r\nHEADNa\x01me: value\r\nContent-Length: 5\r\n\r\nhello",
+	"control-in-value":  "HTTP/1.1 200 OK\r\nHEADName: va\x01lue\r\nContent-Length: 5\r\n\r\nhello",
+	"no-name":           "HTTP/1.1 200 OK\r\nHEAD: value\r\nContent-Length: 5\r\n\r\nhello",
+	"chunks-after-name": "HTTP/1.1 200 OK\r\nHEADTransfer-Encoding : chunked\r\nContent-Length: 15\r\n\r\n5\r\nhello\r\n0\r\n\r\n",
+	"length-after-name": "HTTP/1.1 200 OK\r\nHEADConnection: close\r\nContent-Length : 50\r\n\r\nhello",
+	"chunks-of-1.0":     "HTTP/1.0 200 OK\r\nHEADTransfer-Encoding: chunked\r\n\r\n5\r\nhello\r\n0\r\n\r\n",
+	"interim-name":      "HTTP/1.1 103 Early Hints\r\nNa me: value\r\n\r\nHTTP/1.1 200 OK\r\nHEADContent-Length: 5\r\n\r\nhello",
+	"trailer-name":      "HTTP/1.1 200 OK\r\nHEADTransfer-Encoding: chunked\r\n\r\n5\r\nhello\r\n0\r\nNa me: value\r\n\r\n",
 }
 
 // respondAndReset answers a request before its body is read with a part of a response without a length, and resets the connection
@@ -69,6 +81,14 @@
 			if took := time.Since(start); took > time.Second {
 				t.Errorf("%s: the attempt ended after %v, want at once", id, took)
 			}
+			f.outweighFailure(node, id)
 		}
 	}
 }
+
+// outweighFailure sends requests that succeed, so that the node does not refuse the next request after many failures of the service.
+func (f *platformFleet) outweighFailure(node int, id string) {
+	for i := range 4 {
+		f.send(node, http.MethodPost, "/one/a", "key-a", fmt.Sprintf("%s-good-%d", id, i), "x")
+	}
+}
--- a/internal/runner/platform_test.go
+++ b/internal/runner/platform_test.go
@@ -144,7 +144,8 @@
 	head := "X-Attempt-Id: " + id + "\r\nX-Server-Stamp: stamp-" + instance + "\r\n"
 	if text, ok := invalidResponses[kind]; ok {
 		fmt.Fprint(c, strings.ReplaceAll(text, "HEAD", head))
-		return true
+		// An upstream that closes the connection ends its response with it.
+		return !strings.Contains(text, "HTTP/1.0") && !strings.Contains(text, "Connection: close")
 	}
 	switch kind {
 	case "failed":
