End a broken response to a caller with HTTP/1.0 with a reset

Without chunks a caller with HTTP/1.0 takes the end of the connection for the end of the response, and a streamed response that broke off ended in order.

Change: while a response is streamed to such a caller, its connection ends with a reset, however it ends.

--- a/internal/exchanger/reset_test.go
+++ b/internal/exchanger/reset_test.go
@@ -54,6 +54,7 @@
 		{"with its length", lengthGiven, true},
 		{"in chunks", chunksGiven, true},
 		{"fewer bytes than its length", strings.Replace(lengthGiven, "5", "50", 1), false},
+		{"without the end of its trailers", strings.TrimSuffix(chunksGiven, "\r\n"), false},
 		{"without the last chunk", strings.TrimSuffix(chunksGiven, "0\r\n\r\n"), false},
 	}
 	for _, tt := range tests {
--- a/internal/forwarder/response.go
+++ b/internal/forwarder/response.go
@@ -8,6 +8,7 @@
 	"github.com/pkg/errors"
 
 	"github.com/lavenderhub/lavenderhub/internal/asserter"
+	"github.com/lavenderhub/lavenderhub/internal/pipeliner"
 	"github.com/lavenderhub/lavenderhub/internal/refuser"
 )
 
@@ -153,13 +154,24 @@
 		panic(http.ErrAbortHandler)
 	}
 	if !resp.isComplete() {
+		complete := resetUntilComplete(r)
 		f.streamRest(w, resp)
+		complete()
 	}
 	for name, values := range resp.trailer {
 		h[http.TrailerPrefix+name] = values
 	}
 }
 
+// resetUntilComplete lets a connection with HTTP/1.0 end with a reset until the returned function is called. Without chunks an ordinary
+// end would complete the response.
+func resetUntilComplete(r *http.Request) (complete func()) {
+	if r.ProtoAtLeast(1, 1) {
+		return func() {}
+	}
+	return pipeliner.ResetUntilComplete(r.Context())
+}
+
 func (f *Forwarder) streamRest(w http.ResponseWriter, resp *response) {
 	rc := http.NewResponseController(w)
 	buf := make([]byte, maxBufferedBody/2)
--- a/internal/runner/platform_incomplete_test.go
+++ b/internal/runner/platform_incomplete_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"io"
 	"net"
 	"net/http"
 	"strings"
@@ -92,3 +93,25 @@
 		f.send(node, http.MethodPost, "/one/a", "key-a", fmt.Sprintf("%s-good-%d", id, i), "x")
 	}
 }
+
+// TestPlatformBrokenStreamLooksCompleteToOldCaller guards against the part of a long response that a caller with HTTP/1.0, for which the
+// end of the connection ends the response, gets as a complete one.
+func TestPlatformBrokenStreamLooksCompleteToOldCaller(t *testing.T) {
+	f := startServingPlatformFleet(t)
+	for _, kind := range []string{"large-truncated-chunks", "large-unending-trailer", "large-reset", "large-unframed"} {
+		for node := range f.nodes {
+			c, err := net.Dial("tcp", f.nodes[node].node.CallerAddr().String())
+			if err != nil {
+				t.Fatal(err)
+			}
+			_ = c.SetDeadline(time.Now().Add(5 * time.Second))
+			fmt.Fprintf(c, "GET /one/%s HTTP/1.0\r\nHost: a.example\r\nX-Attempt-Id: %s-%d\r\nX-Deadline-Ms: 4000\r\n"+
+				"Authorization: Bearer key-a\r\n\r\n", kind, kind, node)
+			data, err := io.ReadAll(c)
+			_ = c.Close()
+			if complete := kind == "large-unframed"; (err == nil) != complete || (complete && len(data) < 1<<20) {
+				t.Errorf("%s at node %d: %d bytes, %v; want a complete response: %v", kind, node, len(data), err, complete)
+			}
+		}
+	}
+}
--- a/internal/runner/platform_test.go
+++ b/internal/runner/platform_test.go
@@ -177,6 +177,21 @@
 	case "large":
 		fmt.Fprintf(c, "HTTP/1.1 200 OK\r\n%sContent-Length: %d\r\n\r\n", head, 1<<20)
 		_, _ = c.Write(bytes.Repeat([]byte("x"), 1<<20))
+	case "large-truncated-chunks":
+		fmt.Fprintf(c, "HTTP/1.1 200 OK\r\n%sTransfer-Encoding: chunked\r\n\r\n100000\r\n", head)
+		_, _ = c.Write(bytes.Repeat([]byte("x"), 1<<20))
+		return false
+	case "large-unframed":
+		fmt.Fprintf(c, "HTTP/1.1 200 OK\r\n%s\r\n", head)
+		_, _ = c.Write(bytes.Repeat([]byte("x"), 1<<20))
+		return false
+	case "large-reset":
+		fmt.Fprintf(c, "HTTP/1.1 200 OK\r\n%s\r\n", head)
+		_, _ = c.Write(bytes.Repeat([]byte("x"), 1<<20))
+		// The node reads most of the response before the reset.
+		time.Sleep(slowResponse / 10)
+		_ = c.(*net.TCPConn).SetLinger(0)
+		return false
 	case "unending-head":
 		fmt.Fprintf(c, "HTTP/1.1 200 OK\r\n%s", head)
 		return sendUntilClosed(c, "Name: value\r\n")
