--- a/internal/exchanger/invalid_test.go
+++ b/internal/exchanger/invalid_test.go
@@ -72,7 +72,8 @@
 func TestValidStatusIsRefused(t *testing.T) {
 	const rest = "\r\nRequest-Id: ID\r\nContent-Length: 5\r\n\r\nhello"
 	for _, line := range []string{
-		"HTTP/1.1 200 OK", "HTTP/1.1 200 ", "HTTP/1.1 200", "HTTP/1.0 200 OK", "HTTP/1.1 599 Own", "HTTP/1.1 200 Sch\xc3\xb6n", "HTTP/1.1 299 a\tb",
+		"HTTP/1.1 200 OK", "HTTP/1.1 200 ", "HTTP/1.1 200", "HTTP/1.0 200 OK", "HTTP/1.1 599 Own", "HTTP/1.1 200 Sch\xc3\xb6n",
+		"HTTP/1.1 299 a\tb",
 		"HTTP/1.1 199 Interim\r\n\r\nHTTP/1.1 200 OK",
 	} {
 		t.Run(line, func(t *testing.T) {
--- a/internal/exchanger/reset_test.go
+++ b/internal/exchanger/reset_test.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"net/netip"
 	"strings"
+	"sync"
 	"testing"
 	"time"
 )
@@ -104,7 +105,9 @@
 				<-closed
 				return c, err
 			}
-			go func() {
+			var group sync.WaitGroup
+			defer group.Wait()
+			group.Go(func() {
 				defer close(closed)
 				c, err := ln.Accept()
 				if err != nil {
@@ -114,7 +117,7 @@
 				time.Sleep(50 * time.Millisecond)
 				reset(c)
 				time.Sleep(50 * time.Millisecond)
-			}()
+			})
 			resp, err := upload(t, p, 100)
 			if err != nil {
 				t.Fatal(err)
--- a/internal/exchanger/stream_test.go
+++ b/internal/exchanger/stream_test.go
@@ -4,6 +4,7 @@
 	"io"
 	"net"
 	"os"
+	"sync"
 	"syscall"
 	"testing"
 	"time"
@@ -47,7 +48,9 @@
 		t.Run(tt.name, func(t *testing.T) {
 			c := &endingConn{began: make(chan struct{}), ended: make(chan struct{}), writeErr: tt.writeErr}
 			s := &stream{Conn: c}
-			go func() { _, _ = s.Write([]byte("body")) }()
+			var group sync.WaitGroup
+			defer group.Wait()
+			group.Go(func() { _, _ = s.Write([]byte("body")) })
 			<-c.began
 			for range 2 {
 				if _, err := s.Read(make([]byte, 1)); (err == io.EOF) != tt.want {
