Leave open whether a request with an invalid response ran

Cause: an invalid response had the outcome failed, which states that the upstream ran the request. Such a response does not show that.

Change: the outcome is unknown, also with a length or an encoding that net/http refuses. The response to the caller is 502 as before.

--- a/internal/exchanger/exchange.go
+++ b/internal/exchanger/exchange.go
@@ -181,7 +181,12 @@
 	if err := c.checkNextHead(); err != nil {
 		return nil, err
 	}
-	return http.ReadResponse(c.reader, req)
+	resp, err := http.ReadResponse(c.reader, req)
+	if err != nil {
+		// The head is complete and its lines are valid.
+		return nil, newInvalidError("length or encoding", []byte(err.Error()))
+	}
+	return resp, nil
 }
 
 // isUnframed reports whether the end of the response body is marked only by the end of the connection.
--- a/internal/exchanger/invalid_error.go
+++ b/internal/exchanger/invalid_error.go
@@ -6,7 +6,7 @@
 type InvalidError struct {
 	// Part names the invalid part.
 	Part string
-	// Start holds the first bytes of that part. They may be of any kind and are not for callers.
+	// Start holds the first bytes of that part, or of the parser's error. They may be of any kind and are not for callers.
 	Start string
 }
 
--- a/internal/forwarder/response.go
+++ b/internal/forwarder/response.go
@@ -8,6 +8,7 @@
 	"github.com/pkg/errors"
 
 	"github.com/lavenderhub/lavenderhub/internal/asserter"
+	"github.com/lavenderhub/lavenderhub/internal/exchanger"
 	"github.com/lavenderhub/lavenderhub/internal/pipeliner"
 	"github.com/lavenderhub/lavenderhub/internal/refuser"
 )
@@ -116,6 +117,11 @@
 	return resp, nil
 }
 
+// isInvalidResponse reports whether an upstream sent a response that breaks the syntax of HTTP. It does not show that the request ran.
+func isInvalidResponse(err error) bool {
+	return errors.As(err, new(*exchanger.InvalidError))
+}
+
 // isComplete reports whether the response has been read to its end.
 func (r *response) isComplete() bool {
 	return r.rest == nil
--- a/internal/forwarder/upstream.go
+++ b/internal/forwarder/upstream.go
@@ -55,7 +55,7 @@
 		nested := finish(false)
 		f.logBrokenResponse(c, up, err)
 		ref := f.brokenResponse(ctx, err)
-		if ref.Reason == refuser.UpstreamBroke {
+		if ref.Reason == refuser.UpstreamBroke && !isInvalidResponse(err) {
 			ref.Outcome = refuser.Failed
 		}
 		report := f.newReport(up, c, nested)
--- a/internal/runner/platform_incomplete_test.go
+++ b/internal/runner/platform_incomplete_test.go
@@ -8,6 +8,10 @@
 	"strings"
 	"testing"
 	"time"
+
+	"go.uber.org/zap/zapcore"
+
+	"github.com/lavenderhub/lavenderhub/internal/logger"
 )
 
 // invalidResponses are responses by the last segment of the path. HEAD stands for the headers that each response has.
@@ -115,3 +119,27 @@
 		}
 	}
 }
+
+// TestPlatformInvalidResponseShowsThatRequestRan guards against an outcome that an invalid response does not show.
+func TestPlatformInvalidResponseShowsThatRequestRan(t *testing.T) {
+	out := &lockedBuffer{}
+	f := startServingPlatformFleet(t, func(f *platformFleet) { f.log = logger.New(out, zapcore.InfoLevel) })
+	tests := []struct{ kind, part string }{
+		{"status-000", "invalid status code"},
+		{"space-in-name", "invalid field name"},
+		{"control-in-value", "invalid field value"},
+		{"trailer-name", "invalid trailer name"},
+	}
+	for _, tt := range tests {
+		f.send(0, http.MethodPost, "/one/"+tt.kind, "key-a", tt.kind, "x")
+		if line := out.line("responseBroke", tt.kind); !strings.Contains(line, tt.part) {
+			t.Errorf("%s: log line %q, want %s", tt.kind, line, tt.part)
+		}
+		line := out.line("requestEnded", tt.kind)
+		for _, want := range []string{"outcome=unknown", "reason=upstreamBroke", tt.part} {
+			if !strings.Contains(line, want) {
+				t.Errorf("%s: log line %q, want %s", tt.kind, line, want)
+			}
+		}
+	}
+}
