--- a/internal/forwarder/response.go
+++ b/internal/forwarder/response.go
@@ -9,6 +9,8 @@
 	"github.com/pkg/errors"
 
 	"github.com/lavenderhub/lavenderhub/internal/asserter"
+	"github.com/lavenderhub/lavenderhub/internal/exchanger"
+	"github.com/lavenderhub/lavenderhub/internal/pipeliner"
 	"github.com/lavenderhub/lavenderhub/internal/refuser"
 )
 
@@ -128,6 +130,11 @@
 	return resp, nil
 }
 
+// isInvalidResponse reports whether an upstream sent a response that breaks the syntax of HTTP. It does not show that the request ran.
+func isInvalidResponse(err error) bool {
+	return errors.As(err, new(*exchanger.InvalidError))
+}
+
 // isComplete reports whether the response has been read to its end.
 func (r *response) isComplete() bool {
 	return r.rest == nil
@@ -166,13 +173,24 @@
 		panic(http.ErrAbortHandler)
 	}
 	if !resp.isComplete() {
+		complete := resetUntilComplete(r)
 		f.streamRest(w, resp)
+		complete()
 	}
 	for name, values := range resp.trailer {
 		h[http.TrailerPrefix+name] = values
 	}
 }
 
+// resetUntilComplete lets a connection with HTTP/1.0 end with a reset until the returned function is called. Without chunks an ordinary
+// end would complete the response.
+func resetUntilComplete(r *http.Request) (complete func()) {
+	if r.ProtoAtLeast(1, 1) {
+		return func() {}
+	}
+	return pipeliner.ResetUntilComplete(r.Context())
+}
+
 func (f *Forwarder) streamRest(w http.ResponseWriter, resp *response) {
 	rc := http.NewResponseController(w)
 	buf := make([]byte, maxBufferedBody/2)
--- a/internal/runner/platform_test.go
+++ b/internal/runner/platform_test.go
@@ -92,6 +92,10 @@
 			w.respondBeforeBody(c, r)
 			continue
 		}
+		if strings.HasSuffix(r.URL.Path, "/early-reset") {
+			w.respondAndReset(c, r)
+			return
+		}
 		body, err := io.ReadAll(r.Body)
 		if err != nil || !w.respond(c, r, body) {
 			return
@@ -138,6 +142,11 @@
 	w.runCounts[id]++
 	w.mu.Unlock()
 	head := "X-Attempt-Id: " + id + "\r\nX-Server-Stamp: stamp-" + instance + "\r\n"
+	if text, ok := invalidResponses[kind]; ok {
+		fmt.Fprint(c, strings.ReplaceAll(text, "HEAD", head))
+		// An upstream that closes the connection ends its response with it.
+		return !strings.Contains(text, "HTTP/1.0") && !strings.Contains(text, "Connection: close")
+	}
 	switch kind {
 	case "failed":
 		fmt.Fprintf(c, "HTTP/1.1 500 Internal Server Error\r\n%sContent-Length: 4\r\n\r\noops", head)
@@ -168,6 +177,21 @@
 	case "large":
 		fmt.Fprintf(c, "HTTP/1.1 200 OK\r\n%sContent-Length: %d\r\n\r\n", head, 1<<20)
 		_, _ = c.Write(bytes.Repeat([]byte("x"), 1<<20))
+	case "large-truncated-chunks":
+		fmt.Fprintf(c, "HTTP/1.1 200 OK\r\n%sTransfer-Encoding: chunked\r\n\r\n100000\r\n", head)
+		_, _ = c.Write(bytes.Repeat([]byte("x"), 1<<20))
+		return false
+	case "large-unframed":
+		fmt.Fprintf(c, "HTTP/1.1 200 OK\r\n%s\r\n", head)
+		_, _ = c.Write(bytes.Repeat([]byte("x"), 1<<20))
+		return false
+	case "large-reset":
+		fmt.Fprintf(c, "HTTP/1.1 200 OK\r\n%s\r\n", head)
+		_, _ = c.Write(bytes.Repeat([]byte("x"), 1<<20))
+		// The node reads most of the response before the reset.
+		time.Sleep(slowResponse / 10)
+		_ = c.(*net.TCPConn).SetLinger(0)
+		return false
 	case "unending-head":
 		fmt.Fprintf(c, "HTTP/1.1 200 OK\r\n%s", head)
 		return sendUntilClosed(c, "Name: value\r\n")
