Learn how many concurrent requests an upstream handles well

Cause: the limit of a platform gate is fixed at 0.95 of the slots, although some upstreams serve more requests with fewer in progress, and a gate does not know how much longer a call takes while its host is slow.

Ruled out: the limit where completions per second, as derived from times and numbers of requests in progress, stop rising. A slow nested service gives the same picture as a full upstream.

Change: type capacity alternates between two limits while requests wait and keeps the lower one only if it has more completions. Type expectedTime predicts the time of a call from the recent mean and the reported slowdown, by the effect that earlier reports had on measured times.

--- a/internal/admitter/gate.go
+++ b/internal/admitter/gate.go
@@ -79,6 +79,7 @@
 	adaptive      AdaptiveMode
 	// reportsSlowdown reports whether the upstream has reported a slowdown of its host.
 	reportsSlowdown bool
+	learned         learned
 }
 
 // Option configures a Gate.
@@ -275,6 +276,7 @@
 	now := g.timer.Now()
 	g.endWindow(now)
 	g.dispatch(now)
+	g.learn(s, now)
 }
 
 // Cancel releases the ticket's slot for a request that was not run.
@@ -376,6 +378,7 @@
 	Load float64
 	// Mean is the mean request time.
 	Mean time.Duration
+	Estimate
 }
 
 // Report returns the gate's current state.
@@ -385,7 +388,7 @@
 	now := g.timer.Now()
 	g.endWindow(now)
 	load := float64(g.inflight+g.queue.Len()) / float64(g.limit.current())
-	return Report{Level: g.level.current(now), Load: load, Mean: g.mean}
+	return Report{Level: g.level.current(now), Load: load, Mean: g.mean, Estimate: g.estimate(load, now)}
 }
 
 // HasRoom reports whether a slot is free and no request is waiting.
--- a/internal/admitter/limit.go
+++ b/internal/admitter/limit.go
@@ -59,6 +59,8 @@
 	// slowStartDone reports whether the limit has reached the slots once or the upstream has shed requests.
 	slowStartDone bool
 	static        bool
+	// bound is the learned capacity of the upstream, or zero if it does not limit.
+	bound int
 }
 
 func newLimit(slots int, now time.Time) limit {
@@ -68,7 +70,11 @@
 // current returns the limit in requests, between one and the number of slots.
 func (l *limit) current() int {
 	v := l.value * (1 - reportedLoadCut*min(1, max(0, l.reportedLoad-reportedLoadStart)/(reportedLoadEnd-reportedLoadStart)))
-	return max(1, min(l.slots, int(math.Round(v))))
+	n := min(l.slots, int(math.Round(v)))
+	if l.bound > 0 {
+		n = min(n, l.bound)
+	}
+	return max(1, n)
 }
 
 func (l *limit) setSlots(slots int) {
--- a/internal/admitter/load_report.go
+++ b/internal/admitter/load_report.go
@@ -35,6 +35,9 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	g.reportsSlowdown = g.reportsSlowdown || r.HasSlowdown
+	if r.HasSlowdown {
+		g.learned.slowdowns.record(r.Slowdown, g.timer.Now())
+	}
 }
 
 // IsAdaptive reports whether the gate's decisions adapt to what the upstream's responses show.
