Choose upstreams by the expected time that their gates report

Cause: a node sends a few calls a second to an upstream, so that its own mean latency follows a slow host late and does not see other nodes' calls.

Ruled out: the best report of all upstreams, which all nodes would choose at once; and costs by reported times in milliseconds, which are not comparable with a node's own times where it sends shorter requests.

Change: a report younger than a second replaces the mean latency, in the scale of this node's own calls. Calls sent since the report count as load, and the cost rises more steeply from 0.9 of the limit.

--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -75,6 +75,10 @@
 			old[t.Node+" "+t.Address.String()] = t
 		}
 	}
+	scale := &timeScale{}
+	for _, t := range old {
+		scale = t.scale
+	}
 	list := make([]*Target, 0, len(workers))
 	for _, w := range r.subset(workers) {
 		if t := old[w.GetNode()+" "+w.GetPeerAddress()]; t != nil {
@@ -82,7 +86,7 @@
 			list = append(list, t)
 			continue
 		}
-		list = append(list, newTarget(w, r.node))
+		list = append(list, newTarget(w, r.node, scale))
 	}
 	p.Store(&list)
 }
--- a/internal/router/target.go
+++ b/internal/router/target.go
@@ -57,9 +57,11 @@
 	failures     int
 	ejections    int
 	ejectedUntil time.Time
+	estimate     estimate
+	scale        *timeScale
 }
 
-func newTarget(w *schema.Worker, self string) *Target {
+func newTarget(w *schema.Worker, self string, scale *timeScale) *Target {
 	addr, _ := netip.ParseAddrPort(w.GetPeerAddress())
 	t := &Target{
 		Node:    w.GetNode(),
@@ -67,6 +69,7 @@
 		Domain:  w.GetFailureDomain(),
 		Region:  w.GetRegion(),
 		Local:   w.GetNode() == self,
+		scale:   scale,
 	}
 	t.update(w)
 	return t
@@ -102,6 +105,8 @@
 	// Load is the load that the worker's gate reported. It is valid only if HasLoad is set.
 	Load    float64
 	HasLoad bool
+	// Expected is the time of one more call that the worker's gate expects, or zero if it reported none.
+	Expected time.Duration
 }
 
 // Finish ends a call in progress and records its result.
@@ -112,6 +117,7 @@
 	if r.HasLoad {
 		t.load, t.loadAt = r.Load, now
 	}
+	t.recordEstimate(r, now)
 	t.recordFault(r, now)
 	switch {
 	case r.Failed:
@@ -185,6 +191,9 @@
 	local := float64(t.inflight.Load()) / float64(max(1, t.slots.Load()))
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	if t.hasEstimate(now) {
+		return max(local, t.estimatedLoad())
+	}
 	if now.Sub(t.loadAt) < loadLifetime {
 		return max(local, t.load)
 	}
@@ -196,5 +205,9 @@
 	load := t.utilization(now)
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	return max(minLatency, t.decayedLatency(now)).Seconds() * (1 + load) * math.Max(1, load) * (1 + faultCost*t.decayedFaults(now))
+	latency, queue := t.decayedLatency(now), math.Max(1, load)
+	if t.hasEstimate(now) {
+		latency, queue = t.scale.apply(t.estimate.expected), t.estimatedQueue(load)
+	}
+	return max(minLatency, latency).Seconds() * (1 + load) * queue * (1 + faultCost*t.decayedFaults(now))
 }
