Test what a gate learns without copying a mutex

Cause: go vet finds a copied lock in the table of TestCapacityUnderSaturation.

Change: the model's settings and its state are separate types. TestRandomGate also draws adaptive gates with a static limit, and load reports.

--- a/internal/admitter/capacity_test.go
+++ b/internal/admitter/capacity_test.go
@@ -10,8 +10,8 @@
 	"github.com/lavenderhub/lavenderhub/internal/timer"
 )
 
-// modelUpstream gives the times of requests at an upstream.
-type modelUpstream struct {
+// behaviour is how an upstream's times depend on its load and its host.
+type behaviour struct {
 	slots int
 	base  time.Duration
 	// slowFrom is the share of the slots from which requests take 1.3 times as long, or zero.
@@ -21,6 +21,11 @@
 	reported func(at time.Duration) float64
 	// nestedRate is the number of nested calls per second that the service below serves, or zero without nested calls.
 	nestedRate float64
+}
+
+// modelUpstream gives the times of requests at an upstream.
+type modelUpstream struct {
+	behaviour
 
 	mu         sync.Mutex
 	rng        *rand.Rand
@@ -101,22 +106,22 @@
 	one := constant(1)
 	tests := []struct {
 		name     string
-		upstream modelUpstream
+		upstream behaviour
 		// gain is the wanted ratio of throughput with and without what is learned.
 		gain float64
 		// low and high bound the learned limit.
 		low, high int
 	}{
-		{"slower from 95 %", modelUpstream{slowFrom: constant(0.95), slowdown: one, reported: one}, 1.12, 85, 95},
-		{"slower from 90 %", modelUpstream{slowFrom: constant(0.90), slowdown: one, reported: one}, 1.06, 81, 90},
-		{"never slower", modelUpstream{slowFrom: constant(0), slowdown: one, reported: one}, 0.99, 100, 100},
-		{"evenly slower", modelUpstream{slowFrom: constant(0), slowdown: constant(3), reported: constant(3)}, 0.99, 100, 100},
-		{"slow for half a second", modelUpstream{slowFrom: constant(0), slowdown: pulses, reported: pulses}, 0.99, 100, 100},
-		{"slow for half a second, not reported", modelUpstream{slowFrom: constant(0), slowdown: pulses, reported: one}, 0.99, 94, 100},
-		{"slow for half a second and from 95 %", modelUpstream{slowFrom: constant(0.95), slowdown: pulses, reported: pulses}, 1.1, 85, 95},
-		{"wrongly reported as slow", modelUpstream{slowFrom: constant(0), slowdown: one, reported: pulses}, 0.99, 100, 100},
-		{"slow service below", modelUpstream{slowFrom: constant(0), slowdown: one, reported: one, nestedRate: 200}, 0.99, 100, 100},
-		{"slow from 95 % at first", modelUpstream{slowFrom: func(at time.Duration) float64 {
+		{"slower from 95 %", behaviour{slowFrom: constant(0.95), slowdown: one, reported: one}, 1.12, 85, 95},
+		{"slower from 90 %", behaviour{slowFrom: constant(0.90), slowdown: one, reported: one}, 1.06, 81, 90},
+		{"never slower", behaviour{slowFrom: constant(0), slowdown: one, reported: one}, 0.99, 100, 100},
+		{"evenly slower", behaviour{slowFrom: constant(0), slowdown: constant(3), reported: constant(3)}, 0.99, 100, 100},
+		{"slow for half a second", behaviour{slowFrom: constant(0), slowdown: pulses, reported: pulses}, 0.99, 100, 100},
+		{"slow for half a second, not reported", behaviour{slowFrom: constant(0), slowdown: pulses, reported: one}, 0.99, 94, 100},
+		{"slow for half a second and from 95 %", behaviour{slowFrom: constant(0.95), slowdown: pulses, reported: pulses}, 1.1, 85, 95},
+		{"wrongly reported as slow", behaviour{slowFrom: constant(0), slowdown: one, reported: pulses}, 0.99, 100, 100},
+		{"slow service below", behaviour{slowFrom: constant(0), slowdown: one, reported: one, nestedRate: 200}, 0.99, 100, 100},
+		{"slow from 95 % at first", behaviour{slowFrom: func(at time.Duration) float64 {
 			if at < 12*time.Second {
 				return 0.95
 			}
@@ -129,7 +134,7 @@
 			var done [2]int
 			var g *Gate
 			for i, mode := range []AdaptiveMode{AdaptiveOff, AdaptiveOn} {
-				u := tt.upstream
+				u := modelUpstream{behaviour: tt.upstream}
 				u.slots, u.base = 100, 200*time.Millisecond
 				done[i], g = saturate(t, &u, mode, length)
 			}
--- a/internal/admitter/random_test.go
+++ b/internal/admitter/random_test.go
@@ -30,7 +30,11 @@
 			rng := rand.New(rand.NewPCG(seed, 3))
 			slots := 1 + rng.IntN(30)
 			assert := asserter.New(nil, asserter.WithOnBreak(func(i asserter.Invariant, s string) { t.Errorf("%s %s", i, s) }))
-			g := New(slots, timer.New(), assert)
+			var opts []Option
+			if seed%2 == 1 {
+				opts = []Option{WithStaticLimit(), WithAdaptiveMode(AdaptiveOn)}
+			}
+			g := New(slots, timer.New(), assert, opts...)
 			var mu sync.Mutex
 			var admitted, shed []event
 			var group sync.WaitGroup
@@ -68,6 +72,8 @@
 					g.SetSlots(1 + rng.IntN(30))
 				case 4:
 					g.SetReportedLoad(2 * rng.Float64())
+				case 5, 6, 7, 8:
+					g.RecordLoad(LoadReport{Slowdown: 100 * rng.Float64(), HasSlowdown: true})
 				}
 			}
 			group.Wait()
