Send the expected time of a call with each response, and show what gates learn

Cause: nodes choose upstreams by their own mean times, although the gate beside an upstream knows more and sooner. Invalid load headers went unnoticed.

--- a/internal/forwarder/attempt.go
+++ b/internal/forwarder/attempt.go
@@ -92,6 +92,7 @@
 		Declined: ref != nil && ref.Reason == refuser.Declined,
 		Load:     report.load,
 		HasLoad:  !unresponsive,
+		Expected: report.expected,
 	}, now)
 	return resp, ref
 }
--- a/internal/forwarder/forwarder.go
+++ b/internal/forwarder/forwarder.go
@@ -98,6 +98,7 @@
 	stopped           context.Context
 	endStop           context.CancelCauseFunc
 	meters            meters
+	gateMeters        *gateMeters
 	overrides         Overrides
 	upstreamProtocol  UpstreamProtocol
 	localService      string
@@ -154,6 +155,7 @@
 	}
 	f.stopped, f.endStop = context.WithCancelCause(context.Background())
 	f.meters = newMeters(parts.Registry)
+	f.gateMeters = newGateMeters(parts.Registry, parts.Log)
 	parts.Registry.GetOrRegister("log.leftOut", metrics.NewFunctionalGauge(f.decisions.Dropped))
 	for _, opt := range opts {
 		opt(f)
--- a/internal/forwarder/headers.go
+++ b/internal/forwarder/headers.go
@@ -21,6 +21,7 @@
 	headerHop               = "Lavenderhub-Hop"
 	headerLevel             = "Lavenderhub-Level"
 	headerLoad              = "Lavenderhub-Load"
+	headerExpectedTime      = "Lavenderhub-Time"
 	headerSpent             = "Lavenderhub-Spent"
 	headerFinal             = "Lavenderhub-Final"
 	headerRetryShare        = "Lavenderhub-Repeats"
--- a/internal/forwarder/response.go
+++ b/internal/forwarder/response.go
@@ -4,6 +4,7 @@
 	"io"
 	"net/http"
 	"strconv"
+	"time"
 
 	"github.com/pkg/errors"
 
@@ -15,6 +16,7 @@
 type hopReport struct {
 	level        uint32
 	load         float64
+	expected     time.Duration
 	spentRetries uint32
 	// hasSpentRetries is false while the call may still spend retries, as during a streamed response.
 	hasSpentRetries bool
@@ -37,6 +39,7 @@
 func (r hopReport) write(h http.Header) {
 	h.Set(headerLevel, strconv.FormatUint(uint64(r.level), 10))
 	h.Set(headerLoad, strconv.FormatFloat(r.load, 'f', 3, 64))
+	writeExpectedTime(h, r.expected)
 	if r.hasSpentRetries {
 		h.Set(headerSpent, strconv.FormatUint(uint64(r.spentRetries), 10))
 	}
@@ -59,6 +62,7 @@
 	if x, err := strconv.ParseFloat(h.Get(headerLoad), 64); err == nil {
 		report.load = x
 	}
+	report.expected = readExpectedTime(h)
 	if n, err := strconv.ParseUint(h.Get(headerSpent), 10, 31); err == nil {
 		report.spentRetries, report.hasSpentRetries = uint32(n), true
 	}
--- a/internal/forwarder/upstream.go
+++ b/internal/forwarder/upstream.go
@@ -92,8 +92,10 @@
 
 func (f *Forwarder) newReport(up *announcer.Upstream, c *call, nested nestedSummary) hopReport {
 	gate, now := up.Gate.Report(), f.Timer.Now()
+	f.gateMeters.update(up, gate)
 	return hopReport{
-		level: max(uint32(gate.Level), nested.level), load: gate.Load, spentRetries: c.retryBudget.Spent(), hasSpentRetries: true,
+		level: max(uint32(gate.Level), nested.level), load: gate.Load, expected: expectedTime(gate.Estimate),
+		spentRetries: c.retryBudget.Spent(), hasSpentRetries: true,
 		retryShare: max(f.retryMeterOf(up.Service).Share(now), f.nestedRetryShares.Highest(now)), hasRetryShare: true,
 	}
 }
@@ -112,8 +114,11 @@
 		c.mayHaveRun = result.Sent
 		return nil, UpstreamVerdict{}, err
 	}
-	if load, ok := f.upstreamProtocol.ReadLoad(httpResp.Header); ok {
+	switch load, ok, err := f.upstreamProtocol.ReadLoad(httpResp.Header); {
+	case ok:
 		up.Gate.RecordLoad(load)
+	case err != nil:
+		f.gateMeters.countInvalidLoad(up, err, f.Timer.Now())
 	}
 	verdict := f.upstreamProtocol.ReadVerdict(httpResp)
 	if verdict.Declined {
--- a/internal/forwarder/upstream_protocol.go
+++ b/internal/forwarder/upstream_protocol.go
@@ -39,8 +39,9 @@
 	SetHeaders func(h http.Header, info RequestInfo)
 	// ReadVerdict reads from a response whether the upstream ran the request.
 	ReadVerdict func(resp *http.Response) UpstreamVerdict
-	// ReadLoad reads from a response what the upstream reports about its load. It returns false if there is no valid report.
-	ReadLoad func(h http.Header) (admitter.LoadReport, bool)
+	// ReadLoad reads from a response what the upstream reports about its load. It returns false if there is no valid report,
+	// and an error if there is an invalid one.
+	ReadLoad func(h http.Header) (admitter.LoadReport, bool, error)
 	// AllowUnframed accepts responses that are delimited by the end of their connection.
 	AllowUnframed bool
 }
@@ -60,7 +61,7 @@
 	return UpstreamProtocol{
 		SetHeaders:  setUpstreamHeaders,
 		ReadVerdict: func(*http.Response) UpstreamVerdict { return UpstreamVerdict{} },
-		ReadLoad:    func(http.Header) (admitter.LoadReport, bool) { return admitter.LoadReport{}, false },
+		ReadLoad:    func(http.Header) (admitter.LoadReport, bool, error) { return admitter.LoadReport{}, false, nil },
 	}
 }
 
