Keep the mean of a gate's reports between two calls to it

Cause: with many nodes, a node has a report younger than a second of few upstreams.

Change: the newest report fades into the mean of the last ones within about half a second, and decays like a mean latency, for up to 16 s. Load and expected time are kept together.

--- a/internal/router/estimate.go
+++ b/internal/router/estimate.go
@@ -1,14 +1,20 @@
 package router
 
 import (
+	"math"
 	"sync"
 	"time"
 )
 
 const (
-	// estimateLifetime is how long the expected time that a worker's gate reported is used. Hosts are slow for about half a
-	// second at a time.
-	estimateLifetime = time.Second
+	// estimateFade is the time constant with which the mean of the last reports replaces the newest one. Hosts are slow for
+	// about half a second at a time.
+	estimateFade = 500 * time.Millisecond
+	// estimateWeight is the weight of a new report in that mean.
+	estimateWeight = 0.2
+	// estimateLifetime is how long reports are used. Before that, the expected time decays like a mean latency, so that a
+	// worker that is avoided is tried again, and not by all nodes at the same time.
+	estimateLifetime = 4 * statsHalfLife
 	// scaleWeight is the weight of a new call in the relation of measured to reported times.
 	scaleWeight = 0.02
 	// crowdedLoad is the load from which a worker's cost rises more steeply, by the share crowdedCost at full load. Reports are
@@ -39,47 +45,73 @@
 	s.reported += (reported.Seconds() - s.reported) * scaleWeight
 }
 
-// apply returns the time that this node would measure for a reported time.
-func (s *timeScale) apply(reported time.Duration) time.Duration {
+// factor returns the ratio of the times that this node measures to those that the gates report.
+func (s *timeScale) factor() float64 {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.reported <= 0 {
-		return reported
+		return 1
 	}
-	return time.Duration(float64(reported) * s.measured / s.reported)
+	return s.measured / s.reported
 }
 
-// estimate is the newest expected time that a worker's gate has reported.
+// estimate is what a worker's gate has reported of itself: the newest report, which holds for a moment, and the mean of the
+// last reports, which tells how fast the worker is in general.
 type estimate struct {
-	expected time.Duration
-	at       time.Time
+	newest gateState
+	mean   gateState
+	at     time.Time
 	// inflight is the number of this node's calls in progress at that time.
 	inflight int32
 }
 
+// gateState is the expected time of a call in seconds, without the wait in the queue, and the load.
+type gateState struct {
+	time float64
+	load float64
+}
+
+// toward returns a state between s and other, at the given share of the way.
+func (s gateState) toward(other gateState, share float64) gateState {
+	return gateState{time: s.time + (other.time-s.time)*share, load: s.load + (other.load-s.load)*share}
+}
+
 // recordEstimate records the expected time in a response.
 func (t *Target) recordEstimate(r Result, now time.Time) {
 	if r.Expected <= 0 {
 		return
 	}
-	t.estimate = estimate{expected: r.Expected, at: now, inflight: t.inflight.Load()}
+	e := &t.estimate
+	e.newest = gateState{time: r.Expected.Seconds() / max(1, r.Load), load: r.Load}
+	if e.mean.time == 0 || now.Sub(e.at) >= estimateLifetime {
+		e.mean = e.newest
+	}
+	e.mean = e.mean.toward(e.newest, estimateWeight)
+	e.at, e.inflight = now, t.inflight.Load()
 	if !r.Failed && !r.Refused {
 		t.scale.record(r.Latency, r.Expected)
 	}
 }
 
-func (t *Target) hasEstimate(now time.Time) bool {
-	return t.estimate.expected > 0 && now.Sub(t.estimate.at) < estimateLifetime
-}
-
-// estimatedLoad returns the load that the gate reported, with the calls that this node has sent since. Otherwise all calls of
-// a moment would go to the worker with the best report.
-func (t *Target) estimatedLoad() float64 {
-	sent := max(0, t.inflight.Load()-t.estimate.inflight)
-	return t.load + float64(sent)/float64(max(1, t.slots.Load()))
+// estimated returns what is expected of the worker's gate at present, including the calls that this node has sent since the
+// last report: otherwise all calls of a moment would go to the worker with the best report. It returns false without a report of
+// the last seconds.
+func (t *Target) estimated(now time.Time) (gateState, bool) {
+	e := &t.estimate
+	age := now.Sub(e.at)
+	if e.newest.time == 0 || age >= estimateLifetime {
+		return gateState{}, false
+	}
+	s := e.mean.toward(e.newest, math.Exp(-age.Seconds()/estimateFade.Seconds()))
+	s.time *= math.Exp2(-age.Seconds() / statsHalfLife.Seconds())
+	sent := max(0, t.inflight.Load()-e.inflight)
+	s.load += float64(sent) / float64(max(1, t.slots.Load()))
+	return s, true
 }
 
-// estimatedQueue returns the factor for the wait in the queue. The estimate contains the wait at the time of the report.
-func (t *Target) estimatedQueue(load float64) float64 {
-	return max(1, load) / max(1, t.load) * (1 + crowdedCost*max(0, load-crowdedLoad)/(1-crowdedLoad))
+// estimatedCost returns the expected time of one more call, in seconds as this node would measure it, by which workers are
+// compared.
+func (t *Target) estimatedCost(s gateState) float64 {
+	crowd := 1 + crowdedCost*max(0, s.load-crowdedLoad)/(1-crowdedLoad)
+	return max(minLatency.Seconds(), s.time*t.scale.factor()) * (1 + s.load) * max(1, s.load) * crowd
 }
--- a/internal/router/estimate_test.go
+++ b/internal/router/estimate_test.go
@@ -18,7 +18,7 @@
 
 const (
 	modelSlots  = 24
-	modelNodes  = 24
+	modelNodes  = 56
 	modelTarget = 500 * time.Millisecond
 	modelTime   = 140 * time.Millisecond
 	// A slow period of a host lasts slowPeriod in each slowCycle, 15 % of the time.
@@ -218,18 +218,18 @@
 		// gain is the wanted ratio of good responses. Where nothing is to be gained, it allows for the variation between runs.
 		gain float64
 	}{
-		{"speeds only", modelLoad{load: 0.7, steady: true}, none, 0.99},
-		{"speeds only, full", modelLoad{load: 1, steady: true}, none, 1.005},
-		{"slow hosts", modelLoad{load: usual}, truth, 0.99},
-		{"slow hosts, full", modelLoad{load: full}, truth, 1.005},
-		{"slow hosts, overloaded", modelLoad{load: over}, truth, 1.005},
-		{"no reports", modelLoad{load: usual}, none, 0.99},
-		{"no reports, full", modelLoad{load: full}, none, 1.005},
-		{"always reported as slow", modelLoad{load: usual}, slow, 0.99},
-		{"one always reported as slow, full", modelLoad{load: full}, oneSlow, 1.005},
-		{"inverse reports", modelLoad{load: usual}, inverse, 0.99},
-		{"inverse reports, full", modelLoad{load: full}, inverse, 1.005},
-		{"short and long requests", modelLoad{load: usual, shortShare: 0.8}, truth, 0.99},
+		{"speeds only", modelLoad{load: 0.7, steady: true}, none, 0.998},
+		{"speeds only, full", modelLoad{load: 1, steady: true}, none, 1.04},
+		{"slow hosts", modelLoad{load: usual}, truth, 0.998},
+		{"slow hosts, full", modelLoad{load: full}, truth, 1.04},
+		{"slow hosts, overloaded", modelLoad{load: over}, truth, 1.02},
+		{"no reports", modelLoad{load: usual}, none, 0.998},
+		{"no reports, full", modelLoad{load: full}, none, 1.04},
+		{"always reported as slow", modelLoad{load: usual}, slow, 0.998},
+		{"one always reported as slow, full", modelLoad{load: full}, oneSlow, 1.04},
+		{"inverse reports", modelLoad{load: usual}, inverse, 0.998},
+		{"inverse reports, full", modelLoad{load: full}, inverse, 1.04},
+		{"short and long requests", modelLoad{load: usual, shortShare: 0.8}, truth, 0.998},
 	}
 	// Without estimates, reports change nothing.
 	without := map[modelLoad]int{}
--- a/internal/router/target.go
+++ b/internal/router/target.go
@@ -191,9 +191,6 @@
 	local := float64(t.inflight.Load()) / float64(max(1, t.slots.Load()))
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if t.hasEstimate(now) {
-		return max(local, t.estimatedLoad())
-	}
 	if now.Sub(t.loadAt) < loadLifetime {
 		return max(local, t.load)
 	}
@@ -205,9 +202,9 @@
 	load := t.utilization(now)
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	latency, queue := t.decayedLatency(now), math.Max(1, load)
-	if t.hasEstimate(now) {
-		latency, queue = t.scale.apply(t.estimate.expected), t.estimatedQueue(load)
+	faults := 1 + faultCost*t.decayedFaults(now)
+	if s, ok := t.estimated(now); ok {
+		return t.estimatedCost(s) * faults
 	}
-	return max(minLatency, latency).Seconds() * (1 + load) * queue * (1 + faultCost*t.decayedFaults(now))
+	return max(minLatency, t.decayedLatency(now)).Seconds() * (1 + load) * math.Max(1, load) * faults
 }
