Leave requests that fail at once out of the expected time

Cause: an upstream that answers a third of its requests with an error at once looked a third faster than it is, and would have got more requests.

Change: a failed request counts only if it took longer than the mean, and not as completed in a trial of a limit.

Test TestFailuresDoNotLowerExpectedTime fails without the condition (66 ms in place of 100).

--- a/internal/admitter/capacity.go
+++ b/internal/admitter/capacity.go
@@ -139,7 +139,9 @@
 type load struct {
 	inflight int
 	limit    int
-	mean     time.Duration
+	// failed is set if the request failed, so that it does not count as completed.
+	failed bool
+	mean   time.Duration
 	// slowdown returns the mean slowdown of the host since a time, or 1 if it is not known.
 	slowdown func(since time.Time) float64
 }
@@ -200,7 +202,9 @@
 		}
 		return
 	}
-	p.done++
+	if !l.failed {
+		p.done++
+	}
 	if !saturated {
 		p.slack++
 	}
--- a/internal/admitter/expected_time_test.go
+++ b/internal/admitter/expected_time_test.go
@@ -4,6 +4,8 @@
 	"math/rand/v2"
 	"testing"
 	"time"
+
+	"github.com/lavenderhub/lavenderhub/internal/timer"
 )
 
 // A reported slowdown must change the expected time at once if it has explained measured times before, and must not if it has
@@ -62,3 +64,36 @@
 		t.Errorf("expected time is %s a second after it rose from 50 to 250 ms", got)
 	}
 }
+
+// An upstream that fails some requests at once must not look fast, and one that fails them late must not look as fast as its
+// successes.
+func TestFailuresDoNotLowerExpectedTime(t *testing.T) {
+	tests := []struct {
+		name      string
+		failure   time.Duration
+		low, high time.Duration
+	}{
+		{"at once", time.Millisecond, 95 * time.Millisecond, 105 * time.Millisecond},
+		{"late", time.Second, 300 * time.Millisecond, 700 * time.Millisecond},
+	}
+	for _, tt := range tests {
+		now := time.Unix(1000, 0)
+		clock := timer.New(timer.WithNow(func() time.Time { return now }))
+		g := New(30, clock, nil, WithStaticLimit(), WithAdaptiveMode(AdaptiveOn))
+		for i := range 400 {
+			ticket, d := g.Admit(t.Context(), Request{Rank: 1, Deadline: now.Add(10 * time.Second)})
+			if d != Admitted {
+				t.Fatalf("%s: decision %d", tt.name, d)
+			}
+			s := Sample{Total: 100 * time.Millisecond, Failed: i%3 == 0}
+			if s.Failed {
+				s.Total = tt.failure
+			}
+			now = now.Add(10 * time.Millisecond)
+			ticket.Done(s)
+		}
+		if got := g.Report().Expected; got < tt.low || got > tt.high {
+			t.Errorf("%s: expected time %s, want %s to %s", tt.name, got, tt.low, tt.high)
+		}
+	}
+}
--- a/internal/admitter/gate.go
+++ b/internal/admitter/gate.go
@@ -260,6 +260,8 @@
 	Self time.Duration
 	// Shed reports whether the upstream refused the request for lack of capacity.
 	Shed bool
+	// Failed reports whether the upstream did not complete the request, or answered it with an error.
+	Failed bool
 }
 
 // Done releases the ticket's slot and admits the next waiting request.
--- a/internal/admitter/learned.go
+++ b/internal/admitter/learned.go
@@ -33,7 +33,8 @@
 		}
 		return 1
 	}
-	if !s.Shed {
+	// An upstream that fails requests at once is not fast. One that fails them late is at least that slow.
+	if !s.Shed && (!s.Failed || s.Total > l.time.mean()) {
 		l.time.record(s.Total, since(now.Add(-s.Total)), now)
 	}
 	// A limit that is not static is adapted by its own probes.
@@ -42,7 +43,9 @@
 		return
 	}
 	l.capacity.reset(g.limit.slots, now)
-	l.capacity.recordDone(load{inflight: g.inflight, limit: g.limit.current(), mean: l.time.mean(), slowdown: since}, now)
+	l.capacity.recordDone(load{
+		inflight: g.inflight, limit: g.limit.current(), failed: s.Shed || s.Failed, mean: l.time.mean(), slowdown: since,
+	}, now)
 	g.limit.bound = l.capacity.limit()
 	g.dispatch(now)
 }
--- a/internal/forwarder/upstream.go
+++ b/internal/forwarder/upstream.go
@@ -33,12 +33,13 @@
 	start := f.Timer.Now()
 	running := &runningRequest{call: c, ctx: ctx}
 	handle := f.runningRequests.add(running)
+	failed := true
 	finish := func(shed bool) nestedSummary {
 		f.runningRequests.remove(handle)
 		now := f.Timer.Now()
 		nested := running.summary(now)
 		total := now.Sub(start)
-		ticket.Done(admitter.Sample{Total: total, Self: max(0, total-nested.time), Shed: shed})
+		ticket.Done(admitter.Sample{Total: total, Self: max(0, total-nested.time), Shed: shed, Failed: failed})
 		f.meters.upstreamTime.Update(total)
 		return nested
 	}
@@ -64,6 +65,7 @@
 		ref.Final = report.final
 		return nil, ref, report
 	}
+	failed = resp.status >= http.StatusInternalServerError
 	if resp.isComplete() {
 		nested := finish(resp.status == http.StatusServiceUnavailable)
 		resp.report = f.newReport(up, c, nested)
