--- a/internal/admitter/gate.go
+++ b/internal/admitter/gate.go
@@ -83,6 +83,7 @@
 	// reportsSlowdown reports whether the upstream has reported a slowdown of its host.
 	reportsSlowdown bool
 	congestion      congestionMeter
+	learned         learned
 }
 
 // Option configures a Gate.
@@ -274,6 +275,8 @@
 	Self time.Duration
 	// Shed reports whether the upstream refused the request for lack of capacity.
 	Shed bool
+	// Failed reports whether the upstream did not complete the request, or answered it with an error.
+	Failed bool
 }
 
 // Done releases the ticket's slot and admits the next waiting request.
@@ -290,6 +293,7 @@
 	now := g.timer.Now()
 	g.endWindow(now)
 	g.dispatch(now)
+	g.learn(s, now)
 }
 
 // Cancel releases the ticket's slot for a request that was not run.
@@ -397,6 +401,7 @@
 	// Congestion is the share of calls in the last 0.2 s that were refused for lack of capacity or waited for long. It is
 	// zero if the gate is not adaptive.
 	Congestion float64
+	Estimate
 }
 
 // Report returns the gate's current state.
@@ -406,7 +411,7 @@
 	now := g.timer.Now()
 	g.endWindow(now)
 	load := float64(g.inflight+g.queue.Len()) / float64(g.limit.current())
-	report := Report{Level: g.level.current(now), Load: load, Mean: g.mean}
+	report := Report{Level: g.level.current(now), Load: load, Mean: g.mean, Estimate: g.estimate(load, now)}
 	if g.isAdaptive() {
 		report.Congestion = g.congestion.value(now)
 	}
--- a/internal/forwarder/upstream.go
+++ b/internal/forwarder/upstream.go
@@ -42,12 +42,13 @@
 	start := f.Timer.Now()
 	running := &runningRequest{call: c, ctx: ctx}
 	handle := f.runningRequests.add(running)
+	failed := true
 	finish := func(shed bool) nestedSummary {
 		f.runningRequests.remove(handle)
 		now := f.Timer.Now()
 		nested := running.summary(now)
 		total := now.Sub(start)
-		ticket.Done(admitter.Sample{Total: total, Self: max(0, total-nested.time), Shed: shed})
+		ticket.Done(admitter.Sample{Total: total, Self: max(0, total-nested.time), Shed: shed, Failed: failed})
 		f.meters.upstreamTime.Update(total)
 		return nested
 	}
@@ -75,6 +76,7 @@
 		ref.Final = report.final
 		return nil, ref, report
 	}
+	failed = resp.status >= http.StatusInternalServerError
 	if resp.isComplete() {
 		nested := finish(resp.status == http.StatusServiceUnavailable)
 		resp.report = f.newReport(up, c, nested)
@@ -103,8 +105,10 @@
 
 func (f *Forwarder) newReport(up *announcer.Upstream, c *call, nested nestedSummary) hopReport {
 	gate, now := up.Gate.Report(), f.Timer.Now()
+	f.gateMeters.update(up, gate)
 	return hopReport{
-		level: max(uint32(gate.Level), nested.level), load: gate.Load, spentRetries: c.retryBudget.Spent(), hasSpentRetries: true,
+		level: max(uint32(gate.Level), nested.level), load: gate.Load, expected: expectedTime(gate.Estimate),
+		spentRetries: c.retryBudget.Spent(), hasSpentRetries: true,
 		retryShare: max(f.retryMeterOf(up.Service).Share(now), f.nestedRetryShares.Highest(now)), hasRetryShare: true,
 		congestion: f.newCongestionReport(up, gate, now),
 	}
@@ -124,8 +128,11 @@
 		c.mayHaveRun = result.Sent
 		return nil, UpstreamVerdict{}, err
 	}
-	if load, ok := f.upstreamProtocol.ReadLoad(httpResp.Header); ok {
+	switch load, ok, err := f.upstreamProtocol.ReadLoad(httpResp.Header); {
+	case ok:
 		up.Gate.RecordLoad(load)
+	case err != nil:
+		f.gateMeters.countInvalidLoad(up, err, f.Timer.Now())
 	}
 	verdict := f.upstreamProtocol.ReadVerdict(httpResp)
 	if verdict.Declined {
--- a/internal/router/target.go
+++ b/internal/router/target.go
@@ -59,9 +59,11 @@
 	ejectedUntil time.Time
 	// suspendedUntil is the time until which the worker's gate declines calls because its upstream is faulty.
 	suspendedUntil time.Time
+	estimate       estimate
+	scale          *timeScale
 }
 
-func newTarget(w *schema.Worker, self string) *Target {
+func newTarget(w *schema.Worker, self string, scale *timeScale) *Target {
 	addr, _ := netip.ParseAddrPort(w.GetPeerAddress())
 	t := &Target{
 		Node:    w.GetNode(),
@@ -69,6 +71,7 @@
 		Domain:  w.GetFailureDomain(),
 		Region:  w.GetRegion(),
 		Local:   w.GetNode() == self,
+		scale:   scale,
 	}
 	t.update(w)
 	return t
@@ -106,6 +109,8 @@
 	// Load is the load that the worker's gate reported. It is valid only if HasLoad is set.
 	Load    float64
 	HasLoad bool
+	// Expected is the time of one more call that the worker's gate expects, or zero if it reported none.
+	Expected time.Duration
 }
 
 // Finish ends a call in progress and records its result.
@@ -116,6 +121,7 @@
 	if r.HasLoad {
 		t.load, t.loadAt = r.Load, now
 	}
+	t.recordEstimate(r, now)
 	t.recordFault(r, now)
 	switch {
 	case r.Failed:
@@ -200,5 +206,9 @@
 	load := t.utilization(now)
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	return max(minLatency, t.decayedLatency(now)).Seconds() * (1 + load) * math.Max(1, load) * (1 + faultCost*t.decayedFaults(now))
+	faults := 1 + faultCost*t.decayedFaults(now)
+	if s, ok := t.estimated(now); ok {
+		return t.estimatedCost(s) * faults
+	}
+	return max(minLatency, t.decayedLatency(now)).Seconds() * (1 + load) * math.Max(1, load) * faults
 }
