--- a/internal/admitter/congestion_meter_test.go
+++ b/internal/admitter/congestion_meter_test.go
@@ -17,10 +17,11 @@
 		held time.Duration
 		want float64
 	}{
-		{"long wait", AdaptiveOn, 300 * time.Millisecond, 0.5},
+		// A wait counts from 250 ms on, and the gate ends it after 300 ms.
+		{"long wait", AdaptiveOn, 280 * time.Millisecond, 0.5},
 		{"short wait", AdaptiveOn, 200 * time.Millisecond, 0},
 		{"not finished by the deadline", AdaptiveOn, 2 * time.Second, 1},
-		{"not adaptive", AdaptiveOff, 300 * time.Millisecond, 0},
+		{"not adaptive", AdaptiveOff, 280 * time.Millisecond, 0},
 	}
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
