Adapt all gates of a fleet once one of its upstreams reports a slowdown

Cause: only some services report the slowdown of their hosts.

Change: nodes report in an exchange whether an upstream of theirs reported a slowdown, and the leader tells all nodes. The flag is soft state: a new leader relearns it from the next exchanges, a node keeps the last one.

--- a/internal/admitter/gate.go
+++ b/internal/admitter/gate.go
@@ -82,6 +82,7 @@
 	adaptive      AdaptiveMode
 	// reportsSlowdown reports whether the upstream has reported a slowdown of its host.
 	reportsSlowdown bool
+	sharedHosts     func() bool
 	congestion      congestionMeter
 	learned         learned
 }
@@ -125,7 +126,10 @@
 // New returns a gate for an upstream with the given number of slots.
 func New(slots int, t *timer.Service, assert *asserter.Asserter, opts ...Option) *Gate {
 	now := t.Now()
-	g := &Gate{timer: t, assert: assert, limit: newLimit(slots, now), windowStart: now, slots: slots, usableShare: 1}
+	g := &Gate{
+		timer: t, assert: assert, limit: newLimit(slots, now), windowStart: now, slots: slots, usableShare: 1,
+		sharedHosts: func() bool { return false },
+	}
 	for _, opt := range opts {
 		opt(g)
 	}
--- a/internal/admitter/load_report.go
+++ b/internal/admitter/load_report.go
@@ -17,7 +17,7 @@
 
 // Values of AdaptiveMode.
 const (
-	// AdaptiveAuto means once the upstream has reported a slowdown of its host.
+	// AdaptiveAuto means once an upstream of the fleet has reported a slowdown of its host.
 	AdaptiveAuto AdaptiveMode = iota
 	// AdaptiveOn means always.
 	AdaptiveOn
@@ -30,6 +30,11 @@
 	return func(g *Gate) { g.adaptive = m }
 }
 
+// WithSharedHosts sets a function that reports whether an upstream of another node has reported a slowdown of its host.
+func WithSharedHosts(shared func() bool) Option {
+	return func(g *Gate) { g.sharedHosts = shared }
+}
+
 // RecordLoad records the load that the upstream reported in a response.
 func (g *Gate) RecordLoad(r LoadReport) {
 	g.mu.Lock()
@@ -48,5 +53,19 @@
 }
 
 func (g *Gate) isAdaptive() bool {
-	return g.adaptive == AdaptiveOn || (g.adaptive == AdaptiveAuto && g.reportsSlowdown)
+	switch g.adaptive {
+	case AdaptiveOn:
+		return true
+	case AdaptiveOff:
+		return false
+	default:
+		return g.reportsSlowdown || g.sharedHosts()
+	}
+}
+
+// ReportsSlowdown reports whether the upstream has reported a slowdown of its host.
+func (g *Gate) ReportsSlowdown() bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.reportsSlowdown
 }
--- a/internal/announcer/announcer.go
+++ b/internal/announcer/announcer.go
@@ -356,6 +356,18 @@
 	return total
 }
 
+// HasSharedHost reports whether an upstream has reported a slowdown of its host.
+func (a *Announcer) HasSharedHost() bool {
+	a.mu.RLock()
+	defer a.mu.RUnlock()
+	for _, up := range a.byService {
+		if up.Gate.ReportsSlowdown() {
+			return true
+		}
+	}
+	return false
+}
+
 // Suspended returns the number of upstreams whose breakers are not closed.
 func (a *Announcer) Suspended() int {
 	a.mu.RLock()
--- a/internal/controller/leadership.go
+++ b/internal/controller/leadership.go
@@ -47,6 +47,8 @@
 	services     map[string]*serviceState
 	holders      holders
 	aggregators  aggregators
+	// sharedHosts is set once a node has reported that its host slows its upstream down.
+	sharedHosts bool
 	// carryoverEndRecorded is set once an entry that records the end of the carry-over from earlier leaders is proposed. It
 	// is cleared if the proposal fails.
 	carryoverEndRecorded bool
--- a/internal/controller/sync.go
+++ b/internal/controller/sync.go
@@ -115,6 +115,8 @@
 	}
 	reply.MembershipComplete = l.isMembershipComplete(now)
 	reply.Nodes = uint32(l.liveNodes())
+	l.sharedHosts = l.sharedHosts || req.GetSharedHost()
+	reply.SharedHosts = l.sharedHosts
 	l.addAggregators(req, reply)
 	for _, w := range req.GetWatches() {
 		s := l.services[w.GetService()]
--- a/internal/controller/sync_test.go
+++ b/internal/controller/sync_test.go
@@ -57,6 +57,24 @@
 	}
 }
 
+// Only some services of a fleet report slowdowns of their hosts. The gates of the others must learn of it, or they report no
+// congestion and never suspend a faulty upstream.
+func TestSharedHostsReachAllNodes(t *testing.T) {
+	now := time.Unix(1000, 0)
+	l := newTestLeadership(now, 0)
+	exchange := func(node string, shared bool) bool {
+		reply := &schema.SyncReply{}
+		l.exchangeState(&schema.SyncRequest{Node: node, Incarnation: 1, SharedHost: shared}, reply, now)
+		return reply.GetSharedHosts()
+	}
+	if exchange("a", false) {
+		t.Error("shared hosts without a report")
+	}
+	if !exchange("b", true) || !exchange("a", false) {
+		t.Error("the report of one node did not reach both")
+	}
+}
+
 // BenchmarkExchange measures the leader's work on one exchange, from the bytes of the request to those of the reply.
 func BenchmarkExchange(b *testing.B) {
 	const accounts = 140
--- a/internal/runner/node.go
+++ b/internal/runner/node.go
@@ -140,7 +140,8 @@
 	case schema.AdaptiveControl_ADAPTIVE_CONTROL_OFF:
 		mode = admitter.AdaptiveOff
 	}
-	return append([]admitter.Option{admitter.WithAdaptiveMode(mode)}, baseline.Gate...)
+	shared := func() bool { return n.syncer.HasSharedHosts() }
+	return append([]admitter.Option{admitter.WithAdaptiveMode(mode), admitter.WithSharedHosts(shared)}, baseline.Gate...)
 }
 
 // listen opens a listener on an address from the settings.
--- a/internal/syncer/request.go
+++ b/internal/syncer/request.go
@@ -23,7 +23,7 @@
 	req := &schema.SyncRequest{
 		Node: s.Node.Name, Incarnation: s.incarnation, HaveRevision: s.viewBuilder.Revision(), Epoch: s.epoch,
 		Leaving: kind == leaving, Partial: kind != leaving && s.partialAllowed,
-		AggregatorsFingerprint: s.aggregatorsFingerprint,
+		AggregatorsFingerprint: s.aggregatorsFingerprint, SharedHost: s.Announcer.HasSharedHost(),
 	}
 	req.Ahead = req.Partial && kind == ahead
 	if req.Ahead {
--- a/internal/syncer/syncer.go
+++ b/internal/syncer/syncer.go
@@ -93,6 +93,7 @@
 	certifiedAt atomic.Int64 // time since started, in nanoseconds; zero before the first freshness certificate
 	buckets     sync.Map     // string to *limiter.Bucket
 	nodes       atomic.Uint32
+	sharedHosts atomic.Bool
 	// aggregators holds the nodes that draw the tokens of small client accounts, or nil.
 	aggregators atomic.Pointer[[]netip.AddrPort]
 
@@ -239,6 +240,11 @@
 	return []limiter.BucketOption{limiter.WithLocalRate(policy.Rate/n, policy.Burst/n)}
 }
 
+// HasSharedHosts reports whether an upstream of the fleet has reported a slowdown of its host since this node started.
+func (s *Syncer) HasSharedHosts() bool {
+	return s.sharedHosts.Load()
+}
+
 // Nodes returns the number of nodes in the fleet, at least one.
 func (s *Syncer) Nodes() int {
 	return max(1, int(s.nodes.Load()))
@@ -496,6 +502,9 @@
 		s.updateControlHosts(reply)
 	}
 	s.nodes.Store(max(s.nodes.Load()*nodeCountDecayPercent/100, reply.GetNodes()))
+	if reply.GetSharedHosts() {
+		s.sharedHosts.Store(true)
+	}
 	s.interval = max(initialInterval, time.Duration(reply.GetIntervalMicros())*time.Microsecond)
 	s.exchangeLimiter.SetLimit(rate.Limit(reply.GetExchangeRate()))
 	s.mu.Lock()
