Bound the number of callers' connections and charge their header sections

Cause: a header section of 62 KB with 9,000 fields holds over a megabyte once parsed, and nothing bounds the connections that hold one, or that send nothing. Change: package pipeliner charges header sections, held responses and bytes read ahead to the budget. At the limit on connections, the one that has waited longest for its caller is closed in favour of the new one; if none has waited for 100 ms the new one is closed. Only a request that was not read whole is cut: the read that waits for it gives up the state in which it may be closed before it returns bytes. Without options nothing is limited.

--- a/internal/dialer/server.go
+++ b/internal/dialer/server.go
@@ -58,8 +58,8 @@
 	return s.Serve(t, ln, clients, h), nil
 }
 
-// Serve serves a handler on an open listener in a goroutine of the tomb.
-func (s *Security) Serve(t *tomb.Tomb, ln net.Listener, clients ClientKind, h http.Handler) *Server {
+// Serve serves a handler on an open listener in a goroutine of the tomb. The options are those for callers' connections.
+func (s *Security) Serve(t *tomb.Tomb, ln net.Listener, clients ClientKind, h http.Handler, opts ...pipeliner.Option) *Server {
 	var protocols http.Protocols
 	protocols.SetHTTP1(true)
 	protocols.SetHTTP2(true)
@@ -76,7 +76,7 @@
 	listener := ln
 	var pipelines *pipeliner.Listener
 	if clients == Callers {
-		pipelines = pipeliner.Listen(t, ln, s.timer)
+		pipelines = pipeliner.Listen(t, ln, s.timer, opts...)
 		listener, srv.ConnState, srv.ConnContext = pipelines, pipelines.ConnState, pipelines.ConnContext
 	}
 	if s.cfg != nil && clients != Callers {
@@ -132,6 +132,14 @@
 	}
 }
 
+// ClosedConnections returns the number of callers' connections that were closed because there were too many.
+func (s *Server) ClosedConnections() int64 {
+	if s.pipelines == nil {
+		return 0
+	}
+	return s.pipelines.ClosedConnections()
+}
+
 // Shutdown stops listening, waits for requests in progress and closes connections. It returns the context's error if the
 // context ends first.
 func (s *Server) Shutdown(ctx context.Context) error {
--- a/internal/pipeliner/branch.go
+++ b/internal/pipeliner/branch.go
@@ -7,6 +7,8 @@
 	"sync"
 	"time"
 
+	"github.com/pkg/errors"
+
 	"github.com/lavenderhub/lavenderhub/internal/timer"
 )
 
@@ -101,5 +103,13 @@
 	return nil
 }
 
-// SetWriteDeadline implements net.Conn. The caller's connection has its own.
-func (b *branch) SetWriteDeadline(time.Time) error { return nil }
+// SetWriteDeadline implements net.Conn. The caller's connection has its own. A deadline that has passed would cut the other requests
+// of that connection.
+func (b *branch) SetWriteDeadline(t time.Time) error {
+	if !t.IsZero() && !t.After(b.timer.Now()) {
+		return errShared
+	}
+	return nil
+}
+
+var errShared = errors.New("the connection is shared with other requests")
--- a/internal/pipeliner/conn.go
+++ b/internal/pipeliner/conn.go
@@ -43,10 +43,17 @@
 	onAbort chan struct{}
 	// first receives the first byte that is read ahead.
 	first [1]byte
+
+	wait       wait
+	headCharge headCharge
+	// aheadCharged is the number of bytes that are charged for reads ahead.
+	aheadCharged atomic.Int64
 }
 
 func newConn(raw net.Conn, l *Listener) *conn {
-	return &conn{Conn: raw, pipe: newPipe(raw, &l.totalHeld), listener: l}
+	c := &conn{Conn: raw, pipe: newPipe(raw, &l.totalHeld), listener: l}
+	c.budget = l.budget
+	return c
 }
 
 // Read implements net.Conn.
@@ -70,13 +77,14 @@
 		c.consume(n)
 		return n, nil
 	}
-	return c.Conn.Read(p)
+	return c.readWaiting(p)
 }
 
 func (c *conn) consume(n int) {
 	c.buffer = c.buffer[n:]
 	if len(c.buffer) == 0 {
 		c.buffer = nil
+		c.freeAhead()
 	}
 }
 
@@ -91,7 +99,7 @@
 // readHead returns bytes up to the end of the next request's head.
 func (c *conn) readHead(p []byte) (int, error) {
 	if len(c.buffer) == 0 {
-		n, err := c.Conn.Read(p)
+		n, err := c.readWaiting(p)
 		if n == 0 {
 			if err != nil && !isTimeout(err) {
 				c.closeNow()
@@ -102,6 +110,10 @@
 		if used < n {
 			c.buffer = append([]byte(nil), p[used:n]...)
 		}
+		if !c.chargeHead(c.head.size, c.head.lines) {
+			c.closeNow()
+			return 0, net.ErrClosed
+		}
 		return used, c.endHead(done)
 	}
 	used, done := c.head.scan(c.buffer[:min(len(p), len(c.buffer))])
@@ -117,6 +129,11 @@
 	}
 	h := c.head
 	c.head.reset()
+	c.markProgress()
+	if !c.headCharge.holding.Keep() {
+		return net.ErrClosed
+	}
+	c.wait.isMultiplexed.Store(h.isHTTP2)
 	if !h.mayPrecede() {
 		// What may have an effect never starts before all that stands ahead of it is answered.
 		c.awaitIdle()
@@ -141,7 +158,7 @@
 func (c *conn) readAhead() error {
 	for {
 		c.startBranches()
-		if len(c.buffer) >= maxBuffered {
+		if len(c.buffer) >= maxBuffered || !c.chargeAhead() {
 			c.awaitAbort()
 			return os.ErrDeadlineExceeded
 		}
@@ -167,6 +184,9 @@
 	}
 	block := make([]byte, readSize)
 	n, err := c.Conn.Read(block)
+	if err != nil && !isTimeout(err) {
+		c.freeAhead()
+	}
 	c.buffer = append(c.buffer, block[:n]...)
 	return n, err
 }
@@ -203,6 +223,8 @@
 // completeRequest ends the request that the server has served on this connection.
 func (c *conn) completeRequest() {
 	if !c.plain.Load() && c.serving.CompareAndSwap(true, false) {
+		c.freeHead()
+		c.markProgress()
 		c.finish(c.order.Load(), false)
 	}
 }
--- a/internal/pipeliner/head.go
+++ b/internal/pipeliner/head.go
@@ -30,10 +30,15 @@
 	body   bodyKind
 	length int64
 	hosts  int
+	// size is the number of bytes scanned.
+	size int
+	// isHTTP2 is set for the preface of HTTP/2.
+	isHTTP2 bool
 }
 
 // scan reads bytes up to the end of the head. It returns how many it read, and whether the head is complete.
 func (h *head) scan(p []byte) (n int, done bool) {
+	defer func() { h.size += n }()
 	for n < len(p) {
 		i := bytes.IndexByte(p[n:], '\n')
 		part := p[n:]
@@ -77,6 +82,7 @@
 
 // startLine examines the first line. Methods that open tunnels, and other versions, are left to the server.
 func (h *head) startLine(line []byte) {
+	h.isHTTP2 = bytes.HasPrefix(line, []byte("PRI "))
 	h.isRead = bytes.HasPrefix(line, get) || bytes.HasPrefix(line, headOf)
 	if (len(line) < maxLinePrefix && !bytes.HasSuffix(line, version)) || bytes.HasPrefix(line, []byte("CONNECT ")) {
 		h.body = openBody
--- a/internal/pipeliner/pipe.go
+++ b/internal/pipeliner/pipe.go
@@ -7,6 +7,8 @@
 	"sync/atomic"
 
 	"github.com/pkg/errors"
+
+	"github.com/lavenderhub/lavenderhub/internal/budgeter"
 )
 
 const (
@@ -22,6 +24,7 @@
 type pipe struct {
 	raw       net.Conn
 	totalHeld *atomic.Int64
+	budget    *budgeter.Budget
 
 	mu      sync.Mutex
 	changed sync.Cond
@@ -137,6 +140,10 @@
 		p.totalHeld.Add(-int64(len(b)))
 		return false
 	}
+	if !p.budget.TryTake(int64(len(b))) {
+		p.totalHeld.Add(-int64(len(b)))
+		return false
+	}
 	h := p.heldOf(order)
 	h.data = append(h.data, b...)
 	p.heldSize += len(b)
@@ -189,6 +196,7 @@
 		h.data = nil
 		p.heldSize -= len(data)
 		p.totalHeld.Add(-int64(len(data)))
+		p.budget.Return(int64(len(data)))
 		p.flushing = true
 		p.mu.Unlock()
 		_, err := p.raw.Write(data)
@@ -216,6 +224,7 @@
 	}
 	p.closed, p.ended = true, true
 	p.totalHeld.Add(-int64(p.heldSize))
+	p.budget.Return(int64(p.heldSize))
 	p.held, p.heldSize = nil, 0
 	for _, b := range p.branches {
 		b.cancel()
--- a/internal/pipeliner/pipeliner.go
+++ b/internal/pipeliner/pipeliner.go
@@ -15,6 +15,7 @@
 
 	"gopkg.in/tomb.v2"
 
+	"github.com/lavenderhub/lavenderhub/internal/budgeter"
 	"github.com/lavenderhub/lavenderhub/internal/timer"
 )
 
@@ -39,6 +40,8 @@
 	// open is the number of callers' connections.
 	open      atomic.Int64
 	totalHeld atomic.Int64
+	crowd     *crowd
+	budget    *budgeter.Budget
 
 	errMu sync.Mutex
 	err   error
@@ -50,9 +53,25 @@
 	err  error
 }
 
+// Option configures a Listener.
+type Option func(*Listener)
+
+// WithLimits bounds the memory that connections hold and their number.
+func WithLimits(b *budgeter.Budget, maxConns int64) Option {
+	return func(l *Listener) { l.budget, l.crowd = b, newCrowd(l.timer, maxConns) }
+}
+
+// ClosedConnections returns the number of connections that were closed because there were too many.
+func (l *Listener) ClosedConnections() int64 {
+	return l.crowd.closed.Load()
+}
+
 // Listen returns a Listener that accepts the connections of another one, in a goroutine of the tomb.
-func Listen(t *tomb.Tomb, inner net.Listener, tm *timer.Service) *Listener {
-	l := &Listener{Listener: inner, timer: tm, accepted: make(chan acceptance), closed: make(chan struct{})}
+func Listen(t *tomb.Tomb, inner net.Listener, tm *timer.Service, opts ...Option) *Listener {
+	l := &Listener{Listener: inner, timer: tm, accepted: make(chan acceptance), closed: make(chan struct{}), crowd: newCrowd(tm, 0)}
+	for _, opt := range opts {
+		opt(l)
+	}
 	t.Go(func() error {
 		l.acceptAll()
 		return nil
@@ -67,7 +86,12 @@
 		raw, err := l.Listener.Accept()
 		next := acceptance{err: err}
 		if err == nil {
-			next.conn = newConn(raw, l)
+			c := newConn(raw, l)
+			if !l.crowd.add(c) {
+				_ = raw.Close()
+				continue
+			}
+			next.conn = c
 		} else if !isTemporary(err) {
 			l.fail(err)
 			return
@@ -144,10 +168,17 @@
 		switch state {
 		case http.StateNew:
 			l.open.Add(1)
+			c.wait.idle.Store(true)
+		case http.StateActive:
+			c.wait.idle.Store(false)
 		case http.StateIdle:
 			c.completeRequest()
+			c.wait.idle.Store(true)
 		case http.StateClosed, http.StateHijacked:
 			l.open.Add(-1)
+			l.crowd.remove(c)
+			c.freeHead()
+			c.freeAhead()
 		}
 	case *branch:
 		switch state {
