Bound what a node holds for callers by the memory and descriptors of its process

Change: the budget is two thirds of the Go runtime's memory limit, which is 0.6 of limits.memoryMb or 192 MB, or node.callerMemoryBytes. At 184 MB that is 73.6 MB. Callers' connections are bounded by three quarters of the descriptors and by half of the runtime's memory at 20 KB each. Metrics callerMemory.limit, used, refused, dropped; a log line a minute.

--- a/internal/runner/node.go
+++ b/internal/runner/node.go
@@ -18,8 +18,10 @@
 	"github.com/lavenderhub/lavenderhub/internal/aggregator"
 	"github.com/lavenderhub/lavenderhub/internal/announcer"
 	"github.com/lavenderhub/lavenderhub/internal/asserter"
+	"github.com/lavenderhub/lavenderhub/internal/budgeter"
 	"github.com/lavenderhub/lavenderhub/internal/dialer"
 	"github.com/lavenderhub/lavenderhub/internal/forwarder"
+	"github.com/lavenderhub/lavenderhub/internal/pipeliner"
 	"github.com/lavenderhub/lavenderhub/internal/prober"
 	"github.com/lavenderhub/lavenderhub/internal/reporter"
 	"github.com/lavenderhub/lavenderhub/internal/resolver"
@@ -89,6 +91,7 @@
 	peerServer   *dialer.Server
 	face         face
 	faceServers  []*dialer.Server
+	budget       *budgeter.Budget
 }
 
 // StartNode starts a node. Admin is the address at which the node's reports are available, which it announces to control
@@ -118,14 +121,17 @@
 	if err := n.newSyncer(peerListener.Addr(), admin, baseline.SplitOver); err != nil {
 		return nil, err
 	}
+	n.budget = newCallerBudget(b.Timer, cfg.GetCallerMemoryBytes(), b.Registry)
 	n.newForwarder(baseline.Overrides)
 	n.syncer.Run()
 	n.startProber()
 	if err := n.face.listen(n); err != nil {
 		return nil, err
 	}
-	n.callerServer = b.Security.Serve(&n.tomb, callerListener, dialer.Callers, n.face.callerHandler(n))
+	n.callerServer = b.Security.Serve(&n.tomb, callerListener, dialer.Callers, n.face.callerHandler(n),
+		pipeliner.WithLimits(n.budget, maxConnections()))
 	n.peerServer = b.Security.Serve(&n.tomb, peerListener, dialer.Peers, n.peerHandler())
+	n.tomb.Go(func() error { return logPressure(&n.tomb, b.Timer, b.Log, n.budget, n.callerServer.ClosedConnections) })
 	n.Log.Info("nodeStarted", zap.String("node", cfg.GetName()),
 		zap.Stringer("callers", n.callerServer.Addr()), zap.Stringer("peers", n.peerServer.Addr()))
 	return n, nil
@@ -240,7 +246,7 @@
 func (n *Node) newForwarder(overrides forwarder.Overrides) {
 	opts := []forwarder.Option{
 		forwarder.WithOverrides(overrides), forwarder.WithMaxCertificateAge(maxCertificateAge(n.Terms)),
-		forwarder.WithLocalService(n.cfg.GetService()),
+		forwarder.WithLocalService(n.cfg.GetService()), forwarder.WithBudget(n.budget),
 	}
 	if t := n.Terms; t.GetRetryWindow() != nil {
 		opts = append(opts, forwarder.WithRetryLimit(retrier.RetryLimit{
