Charge header sections behind chunked requests and requests on HTTP/2 connections

Cause: a connection whose requests are not scanned, after a request with chunks, could hold a header section without a charge; a caller may have 10,000 requests on one HTTP/2 connection. A body one byte short of its end was taken for a connection that the server only watches, since the server reads single bytes there too, and did not make room. Change: such sections are charged until the server calls the connection active. Requests of callers on HTTP/2 are charged 16 KB and their fields.

--- a/internal/pipeliner/conn.go
+++ b/internal/pipeliner/conn.go
@@ -77,7 +77,16 @@
 		c.consume(n)
 		return n, nil
 	}
-	return c.readWaiting(p)
+	if len(p) <= 1 {
+		// The server reads single bytes only to notice that the caller leaves, while it serves a request that is complete.
+		return c.Conn.Read(p)
+	}
+	n, err := c.readWaiting(p)
+	if c.wait.idle.Load() && !c.wait.isMultiplexed.Load() && !c.chargePlainHead(p[:n]) {
+		c.closeNow()
+		return 0, net.ErrClosed
+	}
+	return n, err
 }
 
 func (c *conn) consume(n int) {
@@ -91,7 +100,13 @@
 // readBody returns bytes of the body of the request that is being served.
 func (c *conn) readBody(p []byte) (int, error) {
 	p = p[:min(int64(len(p)), c.bodyLeft)]
-	n, err := c.readPlain(p)
+	if len(c.buffer) > 0 {
+		n := copy(p, c.buffer)
+		c.consume(n)
+		c.bodyLeft -= int64(n)
+		return n, nil
+	}
+	n, err := c.readWaiting(p)
 	c.bodyLeft -= int64(n)
 	return n, err
 }
@@ -119,6 +134,10 @@
 	used, done := c.head.scan(c.buffer[:min(len(p), len(c.buffer))])
 	copy(p, c.buffer[:used])
 	c.consume(used)
+	if !c.chargeHead(c.head.size, c.head.lines) {
+		c.closeNow()
+		return 0, net.ErrClosed
+	}
 	return used, c.endHead(done)
 }
 
@@ -223,7 +242,6 @@
 // completeRequest ends the request that the server has served on this connection.
 func (c *conn) completeRequest() {
 	if !c.plain.Load() && c.serving.CompareAndSwap(true, false) {
-		c.freeHead()
 		c.markProgress()
 		c.finish(c.order.Load(), false)
 	}
--- a/internal/pipeliner/pipeliner.go
+++ b/internal/pipeliner/pipeliner.go
@@ -171,8 +171,11 @@
 			c.wait.idle.Store(true)
 		case http.StateActive:
 			c.wait.idle.Store(false)
+			// A section that was dropped in the meantime ends with the next read.
+			c.headCharge.holding.Keep()
 		case http.StateIdle:
 			c.completeRequest()
+			c.freeHead()
 			c.wait.idle.Store(true)
 		case http.StateClosed, http.StateHijacked:
 			l.open.Add(-1)
--- a/internal/pipeliner/wait.go
+++ b/internal/pipeliner/wait.go
@@ -1,6 +1,7 @@
 package pipeliner
 
 import (
+	"bytes"
 	"net"
 	"sync/atomic"
 
@@ -48,10 +49,9 @@
 	return true
 }
 
-// readWaiting reads a part of a request. The server reads single bytes only to notice that the caller leaves, while it serves a
-// request that is complete.
+// readWaiting reads a part of a request that is not complete.
 func (c *conn) readWaiting(p []byte) (int, error) {
-	if len(p) <= 1 || c.listener.crowd.max == 0 {
+	if c.listener.crowd.max == 0 {
 		return c.Conn.Read(p)
 	}
 	if !c.wait.state.CompareAndSwap(busy, waiting) {
@@ -83,6 +83,9 @@
 type headCharge struct {
 	holding *budgeter.Holding
 	charged int64
+	// size and lines count what was read since the last request on a connection whose requests are not scanned.
+	size  int
+	lines int
 }
 
 // chargeHead charges what the header section holds beyond the free size. It returns false if there is no memory for it.
@@ -120,6 +123,14 @@
 	c.budget.Return(c.aheadCharged.Swap(0))
 }
 
+// chargePlainHead is like chargeHead for a header section that the server reads itself. The server calls a connection active only
+// after the section.
+func (c *conn) chargePlainHead(p []byte) bool {
+	c.headCharge.size += len(p)
+	c.headCharge.lines += bytes.Count(p, []byte{'\n'})
+	return c.chargeHead(c.headCharge.size, c.headCharge.lines)
+}
+
 // freeHead gives back what the header section holds.
 func (c *conn) freeHead() {
 	c.headCharge.holding.Close()
--- a/internal/runner/caller_memory.go
+++ b/internal/runner/caller_memory.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"net/http"
 	"runtime/debug"
 	"syscall"
 	"time"
@@ -11,6 +12,7 @@
 	"gopkg.in/tomb.v2"
 
 	"github.com/lavenderhub/lavenderhub/internal/budgeter"
+	"github.com/lavenderhub/lavenderhub/internal/refuser"
 	"github.com/lavenderhub/lavenderhub/internal/timer"
 )
 
@@ -82,3 +84,28 @@
 		refused, dropped, shut = nowRefused, nowDropped, nowShut
 	}
 }
+
+// streamSize is the memory in bytes of a request on a multiplexed connection, besides its header section and its body.
+const streamSize = 16 << 10
+
+// chargeStreams charges the requests of callers on HTTP/2 connections, whose number no limit on connections bounds.
+func chargeStreams(b *budgeter.Budget, h http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if r.ProtoMajor < 2 {
+			h.ServeHTTP(w, r)
+			return
+		}
+		size := int64(streamSize)
+		for name, values := range r.Header {
+			for _, v := range values {
+				size += int64(len(name) + len(v))
+			}
+		}
+		if !b.TryTake(size) {
+			refuser.NewRetryable(refuser.NotRun, refuser.OutOfMemory, "the node has no memory for the request", time.Second).Write(w)
+			return
+		}
+		defer b.Return(size)
+		h.ServeHTTP(w, r)
+	})
+}
--- a/internal/runner/node.go
+++ b/internal/runner/node.go
@@ -128,7 +128,7 @@
 	if err := n.face.listen(n); err != nil {
 		return nil, err
 	}
-	n.callerServer = b.Security.Serve(&n.tomb, callerListener, dialer.Callers, n.face.callerHandler(n),
+	n.callerServer = b.Security.Serve(&n.tomb, callerListener, dialer.Callers, chargeStreams(n.budget, n.face.callerHandler(n)),
 		pipeliner.WithLimits(n.budget, maxConnections()))
 	n.peerServer = b.Security.Serve(&n.tomb, peerListener, dialer.Peers, n.peerHandler())
 	n.tomb.Go(func() error { return logPressure(&n.tomb, b.Timer, b.Log, n.budget, n.callerServer.ClosedConnections) })
