--- a/internal/memorytester/fleet_test.go
+++ b/internal/memorytester/fleet_test.go
@@ -13,6 +13,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"testing"
 	"time"
@@ -71,6 +72,8 @@
 	maxBodyBytes int
 	// descriptors is the limit on a node's file descriptors.
 	descriptors int
+	// callerMemory is the setting callerMemoryBytes.
+	callerMemory int
 }
 
 // fleet is a control host and two nodes, each a process of its own, with upstreams in the test process. Requests below /one/ enter
@@ -107,8 +110,8 @@
 		name := fmt.Sprintf("side-%d", i)
 		started := f.start(name, fmt.Sprintf(`{"trustedNetwork":true,"limits":{"memoryMb":%d},"node":{"name":%q,"failureDomain":"d1",`+
 			`"region":"r1","callerAddress":%q,"peerAddress":%q,"announceAddress":%q,"readyAddress":%q,"controlAddresses":[%q],`+
-			`"service":"svc%d","heartbeatInterval":"60s","face":"platform","upstreamAddress":%q}}`, l.memoryMB, name, n.caller,
-			freeAddress(t), n.announce, freeAddress(t), f.control, i, n.upstream.address()), l.descriptors)
+			`"callerMemoryBytes":%d,"service":"svc%d","heartbeatInterval":"60s","face":"platform","upstreamAddress":%q}}`, l.memoryMB, name, n.caller,
+			freeAddress(t), n.announce, freeAddress(t), f.control, l.callerMemory, i, n.upstream.address()), l.descriptors)
 		n.process, n.log, n.exited = started.process, started.log, started.exited
 		f.nodes = append(f.nodes, n)
 	}
@@ -294,6 +297,7 @@
 	instance string
 	listener net.Listener
 	conns    sync.WaitGroup
+	requests atomic.Int64
 }
 
 const (
@@ -335,6 +339,9 @@
 		if _, err := io.Copy(io.Discard, r.Body); err != nil {
 			return
 		}
+		if strings.HasPrefix(r.URL.Path, "/one/") {
+			u.requests.Add(1)
+		}
 		size := 5
 		switch {
 		case strings.HasPrefix(r.URL.Path, "/one/large"):
