Charge bytes read ahead once, and let pipelined requests finish

Cause: each read ahead charged 4 KB even if it returned one byte, so that one connection could use up the budget. A header section without memory closed its connection at once and cut requests in progress ahead of it. Change: reads ahead are charged by the size of what is buffered. The connection closes after the responses in progress.

--- a/internal/pipeliner/conn.go
+++ b/internal/pipeliner/conn.go
@@ -126,7 +126,7 @@
 			c.buffer = append([]byte(nil), p[used:n]...)
 		}
 		if !c.chargeHead(c.head.size, c.head.lines) {
-			c.closeNow()
+			c.closeWhenIdle()
 			return 0, net.ErrClosed
 		}
 		return used, c.endHead(done)
@@ -135,7 +135,7 @@
 	copy(p, c.buffer[:used])
 	c.consume(used)
 	if !c.chargeHead(c.head.size, c.head.lines) {
-		c.closeNow()
+		c.closeWhenIdle()
 		return 0, net.ErrClosed
 	}
 	return used, c.endHead(done)
--- a/internal/pipeliner/limits_test.go
+++ b/internal/pipeliner/limits_test.go
@@ -125,3 +125,27 @@
 		}
 	}
 }
+
+// A caller that sends single bytes behind a request in progress must not use up the budget.
+func TestSingleBytesAheadAreChargedOnce(t *testing.T) {
+	s := newLimitedServer(t)
+	c := s.open("GET /slow HTTP/1.1\r\nHost: h\r\n\r\nPOST /x HTTP/1.1\r\nHost: h\r\nContent-Length: 0\r\nName: ")
+	for range 200 {
+		_, _ = io.WriteString(c, "x")
+		time.Sleep(time.Millisecond)
+	}
+	if used := s.budget.Used(); used == 0 || used > 4*readSize {
+		t.Errorf("%d bytes are charged", used)
+	}
+	_, _ = io.WriteString(c, "\r\n\r\n")
+	close(s.slow)
+	br := bufio.NewReader(c)
+	for range 2 {
+		if resp, err := http.ReadResponse(br, nil); err != nil || resp.StatusCode != http.StatusOK {
+			t.Fatalf("%v, %v", resp, err)
+		}
+	}
+	if used := s.budget.Used(); used != 0 {
+		t.Errorf("%d bytes are still charged", used)
+	}
+}
--- a/internal/pipeliner/wait.go
+++ b/internal/pipeliner/wait.go
@@ -102,13 +102,14 @@
 		return false
 	}
 	c.headCharge.charged = want
+	c.headCharge.holding.Progress(int(more))
 	return true
 }
 
 // chargeAhead charges the next read ahead to the budget. It returns false if there is no memory for it. The first bytes are free, as
 // most callers send none.
 func (c *conn) chargeAhead() bool {
-	if len(c.buffer) == 0 {
+	if len(c.buffer) == 0 || c.aheadCharged.Load() >= int64(len(c.buffer)+readSize) {
 		return true
 	}
 	if !c.budget.TryTake(readSize) {
