--- a/internal/memorytester/fleet_test.go
+++ b/internal/memorytester/fleet_test.go
@@ -110,8 +110,8 @@
 		name := fmt.Sprintf("side-%d", i)
 		started := f.start(name, fmt.Sprintf(`{"trustedNetwork":true,"limits":{"memoryMb":%d},"node":{"name":%q,"failureDomain":"d1",`+
 			`"region":"r1","callerAddress":%q,"peerAddress":%q,"announceAddress":%q,"readyAddress":%q,"controlAddresses":[%q],`+
-			`"callerMemoryBytes":%d,"service":"svc%d","heartbeatInterval":"60s","face":"platform","upstreamAddress":%q}}`, l.memoryMB, name, n.caller,
-			freeAddress(t), n.announce, freeAddress(t), f.control, l.callerMemory, i, n.upstream.address()), l.descriptors)
+			`"callerMemoryBytes":%d,"service":"svc%d","heartbeatInterval":"60s","face":"platform","upstreamAddress":%q}}`, l.memoryMB, name,
+			n.caller, freeAddress(t), n.announce, freeAddress(t), f.control, l.callerMemory, i, n.upstream.address()), l.descriptors)
 		n.process, n.log, n.exited = started.process, started.log, started.exited
 		f.nodes = append(f.nodes, n)
 	}
@@ -144,13 +144,14 @@
 		f.t.Fatal(err)
 	}
 	n := &node{process: p, log: log.Name(), exited: make(chan struct{})}
-	go func() {
+	var wait sync.WaitGroup
+	wait.Go(func() {
 		_, _ = p.Wait()
 		close(n.exited)
-	}()
+	})
 	f.t.Cleanup(func() {
 		_ = p.Signal(syscall.SIGKILL)
-		<-n.exited
+		wait.Wait()
 	})
 	return n
 }
