--- a/Makefile
+++ b/Makefile
@@ -14,8 +14,10 @@
 build:
 	$(GO) build -o lavenderhub .
 
+# The tests of package memorytester measure real processes and run apart from other load.
 test:
-	$(GO) test -race -timeout 20m ./...
+	$(GO) test -race -timeout 20m $$($(GO) list ./... | grep -v /memorytester$$)
+	$(GO) test -race -timeout 20m ./internal/memorytester
 
 # Runs the randomized tests of the replication, rate limiting and admission logic at length.
 soak:
--- a/internal/pipeliner/conn.go
+++ b/internal/pipeliner/conn.go
@@ -43,10 +43,17 @@
 	onAbort chan struct{}
 	// first receives the first byte that is read ahead.
 	first [1]byte
+
+	wait       wait
+	headCharge headCharge
+	// aheadCharged is the number of bytes that are charged for reads ahead.
+	aheadCharged atomic.Int64
 }
 
 func newConn(raw net.Conn, l *Listener) *conn {
-	return &conn{Conn: raw, pipe: newPipe(raw, &l.totalHeld), listener: l}
+	c := &conn{Conn: raw, pipe: newPipe(raw, &l.totalHeld), listener: l}
+	c.budget = l.budget
+	return c
 }
 
 // Read implements net.Conn.
@@ -70,20 +77,36 @@
 		c.consume(n)
 		return n, nil
 	}
-	return c.Conn.Read(p)
+	if len(p) <= 1 {
+		// The server reads single bytes only to notice that the caller leaves, while it serves a request that is complete.
+		return c.Conn.Read(p)
+	}
+	n, err := c.readWaiting(p)
+	if c.wait.idle.Load() && !c.wait.isMultiplexed.Load() && !c.chargePlainHead(p[:n]) {
+		c.closeNow()
+		return 0, net.ErrClosed
+	}
+	return n, err
 }
 
 func (c *conn) consume(n int) {
 	c.buffer = c.buffer[n:]
 	if len(c.buffer) == 0 {
 		c.buffer = nil
+		c.freeAhead()
 	}
 }
 
 // readBody returns bytes of the body of the request that is being served.
 func (c *conn) readBody(p []byte) (int, error) {
 	p = p[:min(int64(len(p)), c.bodyLeft)]
-	n, err := c.readPlain(p)
+	if len(c.buffer) > 0 {
+		n := copy(p, c.buffer)
+		c.consume(n)
+		c.bodyLeft -= int64(n)
+		return n, nil
+	}
+	n, err := c.readWaiting(p)
 	c.bodyLeft -= int64(n)
 	return n, err
 }
@@ -91,7 +114,7 @@
 // readHead returns bytes up to the end of the next request's head.
 func (c *conn) readHead(p []byte) (int, error) {
 	if len(c.buffer) == 0 {
-		n, err := c.Conn.Read(p)
+		n, err := c.readWaiting(p)
 		if n == 0 {
 			if err != nil && !isTimeout(err) {
 				c.closeNow()
@@ -102,11 +125,19 @@
 		if used < n {
 			c.buffer = append([]byte(nil), p[used:n]...)
 		}
+		if !c.chargeHead(c.head.size, c.head.lines) {
+			c.closeWhenIdle()
+			return 0, net.ErrClosed
+		}
 		return used, c.endHead(done)
 	}
 	used, done := c.head.scan(c.buffer[:min(len(p), len(c.buffer))])
 	copy(p, c.buffer[:used])
 	c.consume(used)
+	if !c.chargeHead(c.head.size, c.head.lines) {
+		c.closeWhenIdle()
+		return 0, net.ErrClosed
+	}
 	return used, c.endHead(done)
 }
 
@@ -117,6 +148,11 @@
 	}
 	h := c.head
 	c.head.reset()
+	c.markProgress()
+	if !c.headCharge.holding.Keep() {
+		return net.ErrClosed
+	}
+	c.wait.isMultiplexed.Store(h.isHTTP2)
 	if !h.mayPrecede() {
 		// What may have an effect never starts before all that stands ahead of it is answered.
 		c.awaitIdle()
@@ -141,7 +177,7 @@
 func (c *conn) readAhead() error {
 	for {
 		c.startBranches()
-		if len(c.buffer) >= maxBuffered {
+		if len(c.buffer) >= maxBuffered || !c.chargeAhead() {
 			c.awaitAbort()
 			return os.ErrDeadlineExceeded
 		}
@@ -167,6 +203,9 @@
 	}
 	block := make([]byte, readSize)
 	n, err := c.Conn.Read(block)
+	if err != nil && !isTimeout(err) {
+		c.freeAhead()
+	}
 	c.buffer = append(c.buffer, block[:n]...)
 	return n, err
 }
@@ -203,6 +242,7 @@
 // completeRequest ends the request that the server has served on this connection.
 func (c *conn) completeRequest() {
 	if !c.plain.Load() && c.serving.CompareAndSwap(true, false) {
+		c.markProgress()
 		c.finish(c.order.Load(), false)
 	}
 }
--- a/internal/refuser/refusal.go
+++ b/internal/refuser/refusal.go
@@ -55,6 +55,7 @@
 	Declined              Reason = "declined"
 	SlowAttempt           Reason = "slowAttempt"
 	Suspended             Reason = "suspended"
+	OutOfMemory           Reason = "outOfMemory"
 )
 
 // Names of the headers that describe an outcome.
