--- a/Makefile
+++ b/Makefile
@@ -16,8 +16,10 @@
 
 # The tests of package memorytester measure real processes and run apart from other load.
 test:
-	$(GO) test -race -timeout 20m $$($(GO) list ./... | grep -v /memorytester$$)
-	$(GO) test -race -timeout 20m ./internal/memorytester
+	status=0; \
+	$(GO) test -race -timeout 20m $$($(GO) list ./... | grep -v '/memorytester$$') || status=$$?; \
+	$(GO) test -race -timeout 20m ./internal/memorytester || status=$$?; \
+	exit $$status
 
 # Runs the randomized tests of the replication, rate limiting and admission logic at length.
 soak:
