Keep calls in their failure domain, and avoid fewer than half of the workers

A worker farther away was taken for a gain of 30 % in the expected time, which callers with a target of 1.5 s don't notice.

Change: where gates report their expected times, the worker farther away must save 5 % of the route's target latency in addition.

--- a/internal/forwarder/dispatch.go
+++ b/internal/forwarder/dispatch.go
@@ -92,7 +92,7 @@
 
 func (f *Forwarder) pickWorker(c *call, tried []*router.Target) *router.Target {
 	up := f.Announcer.Upstream(c.route.Service)
-	return f.Router.Pick(c.route.Service, tried, up != nil && up.Gate.HasRoom(), f.Timer.Now())
+	return f.Router.PickFor(c.route.Service, tried, up != nil && up.Gate.HasRoom(), c.route.ObjectiveLatency, f.Timer.Now())
 }
 
 // correctOutcome turns NotRun into Unknown when an earlier attempt of the call may have run.
--- a/internal/router/estimate.go
+++ b/internal/router/estimate.go
@@ -109,6 +109,14 @@
 	return s, true
 }
 
+// hasEstimate reports whether the worker's gate has reported its expected time recently.
+func (t *Target) hasEstimate(now time.Time) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	_, ok := t.estimated(now)
+	return ok
+}
+
 // estimatedCost returns the expected time of one more call, in seconds as this node would measure it, by which workers are
 // compared.
 func (t *Target) estimatedCost(s gateState) float64 {
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -19,12 +19,15 @@
 	// nearCostFactor is the factor by which the cost of a near worker may exceed that of a far one before a call goes to the
 	// far one: traffic between failure domains uses bandwidth, and small differences of mean latency are mostly noise.
 	nearCostFactor = 1.3
+	// objectiveShare is the part of a call's latency objective that a worker farther away must save in addition, where gates
+	// report their expected times: callers notice no less, and bytes between failure domains are expensive.
+	objectiveShare = 0.05
 	// choices is the number of randomly chosen workers that are compared for a call. With three, half of the workers of a
 	// service of four may be slow without any call having to use one. If all were compared, callers with equally old load
 	// reports would all choose the same worker.
 	choices = 3
 	// panicThreshold is the share of a service's workers that must be healthy. With fewer healthy workers, ejections and
-	// suspensions are ignored.
+	// suspensions are ignored. Suspensions alone are ignored already when no more than this share remains.
 	panicThreshold = 0.5
 )
 
@@ -118,13 +121,16 @@
 	return xxhash.Sum64String(r.node + " " + w.GetNode())
 }
 
+// domainDistance is the distance of a worker in this node's failure domain.
+const domainDistance = 1
+
 // distance returns 0 for this host, 1 for this failure domain, 2 for this region and 3 otherwise.
 func (r *Router) distance(node, domain, region string) int {
 	switch {
 	case node == r.node:
 		return 0
 	case domain == r.domain:
-		return 1
+		return domainDistance
 	case region == r.region:
 		return 2
 	default:
@@ -163,6 +169,11 @@
 // Pick chooses a worker of a service, other than those tried before. HasRoom reports whether the local upstream would
 // run the call without waiting. Pick returns nil if there is no worker.
 func (r *Router) Pick(service string, tried []*Target, hasRoom bool, now time.Time) *Target {
+	return r.PickFor(service, tried, hasRoom, 0, now)
+}
+
+// PickFor is like Pick, for a call with the given latency objective.
+func (r *Router) PickFor(service string, tried []*Target, hasRoom bool, objective time.Duration, now time.Time) *Target {
 	candidates := r.candidates(service, tried, now)
 	if len(candidates) == 0 {
 		return nil
@@ -170,12 +181,12 @@
 	if r.uniform {
 		return candidates[r.random(len(candidates))]
 	}
-	return r.nearest(candidates, hasRoom, now)
+	return r.nearest(candidates, hasRoom, objective, now)
 }
 
 // nearest returns a worker of the nearest ring (the workers at one distance) whose cost is not much higher than that of a
 // worker farther away.
-func (r *Router) nearest(candidates []*Target, hasRoom bool, now time.Time) *Target {
+func (r *Router) nearest(candidates []*Target, hasRoom bool, objective time.Duration, now time.Time) *Target {
 	for distance := 0; distance <= 3; distance++ {
 		var ring, farther []*Target
 		for _, t := range candidates {
@@ -187,13 +198,22 @@
 			}
 		}
 		near, far := r.best(ring, now), r.best(farther, now)
-		if near != nil && (far == nil || near.cost(now) <= nearCostFactor*far.cost(now)+crossingLatency[distance].Seconds()) {
+		if near != nil && (far == nil || near.cost(now) <= nearCostFactor*far.cost(now)+near.extraCost(distance, objective, now)) {
 			return near
 		}
 	}
 	return r.best(candidates, now)
 }
 
+// extraCost returns by how much the cost of a worker at a distance may exceed that of one farther away, in seconds.
+func (t *Target) extraCost(distance int, objective time.Duration, now time.Time) float64 {
+	extra := crossingLatency[distance]
+	if distance == domainDistance && t.hasEstimate(now) {
+		extra = max(extra, time.Duration(objectiveShare*float64(objective)))
+	}
+	return extra.Seconds()
+}
+
 // best returns the worker of lowest cost among a few randomly chosen ones. It changes the order of the list.
 func (r *Router) best(list []*Target, now time.Time) *Target {
 	var best *Target
@@ -222,17 +242,25 @@
 // few remain, it ignores ejections and suspensions.
 func eligible(all, tried []*Target, now time.Time, isEligible func(*Target) bool) []*Target {
 	var healthy, untried []*Target
-	total := 0
+	total, suspended := 0, 0
+	for _, t := range all {
+		if isEligible(t) {
+			total++
+			if t.IsSuspended(now) {
+				suspended++
+			}
+		}
+	}
+	avoidSuspended := float64(total-suspended) > float64(total)*panicThreshold
 	for _, t := range all {
 		if !isEligible(t) {
 			continue
 		}
-		total++
 		if slices.Contains(tried, t) {
 			continue
 		}
 		untried = append(untried, t)
-		if !t.isEjected(now) && !t.IsSuspended(now) {
+		if !t.isEjected(now) && !(avoidSuspended && t.IsSuspended(now)) {
 			healthy = append(healthy, t)
 		}
 	}
