Record evacuations of failure domains in the replicated log

Cause: an operator must be able to take a failure domain out of use, as durably as a configuration.

Ruled out: the evacuation as a part of the configuration, which only the operator's document changes; checking the name against the nodes that the leader knows at the moment, since a domain whose hosts are all dark could not be evacuated.

The leader notes the domains of nodes and of itself. POST /evacuation/ZONE/start and /finish, lavenderhub admin domain evacuate, restore and list. Nodes do not act on it yet.

Tests: TestEvacuateDomain, TestEvacuationDelta.

--- a/internal/applier/change.go
+++ b/internal/applier/change.go
@@ -28,6 +28,8 @@
 		return m.withdrawKey(index, c.WithdrawKey)
 	case *schema.Command_AddTokenKey:
 		return m.addTokenKey(index, c.AddTokenKey)
+	case *schema.Command_EvacuateDomain:
+		return m.evacuateDomain(index, c.EvacuateDomain)
 	default:
 		return invalid("unknown command")
 	}
--- a/internal/applier/machine.go
+++ b/internal/applier/machine.go
@@ -40,6 +40,7 @@
 	document        []byte
 	acceptedDigests [][]byte
 	holders         map[string]bool
+	domains         map[string]*schema.FailureDomain
 	// carryoverEndTerm is the last term whose leader recorded the end of the carry-over from earlier leaders.
 	carryoverEndTerm uint64
 	deltaSince       uint64
@@ -58,6 +59,7 @@
 		claims:    newClaimTable(),
 		routes:    map[string]*schema.HostRoute{},
 		holders:   map[string]bool{},
+		domains:   map[string]*schema.FailureDomain{},
 	}
 }
 
@@ -89,6 +91,10 @@
 		m.changeHolders(c)
 		return Outcome{}, nil
 	}
+	if c := cmd.GetNoteDomains(); c != nil {
+		m.noteDomains(c)
+		return Outcome{}, nil
+	}
 	if c := cmd.GetEndCarry(); c != nil {
 		m.carryoverEndTerm = c.GetTerm()
 		return Outcome{}, nil
@@ -175,6 +181,8 @@
 		TokenKeys: changedSince(m.tokenKeys, since),
 
 		HostRoutes: changedSince(m.routes, since),
+
+		FailureDomains: changedSince(m.domains, since),
 	}
 	if m.head.GetRevision() > since {
 		d.Head = m.head
@@ -253,6 +261,8 @@
 		Accepted:   m.acceptedDigests,
 		Holders:    m.Holders(),
 		CarryEnded: m.carryoverEndTerm,
+
+		FailureDomains: m.Domains(),
 	}
 	for _, id := range m.resultOrder {
 		s.Results = append(s.Results, m.results[id])
@@ -296,6 +306,9 @@
 	}
 	m.head, m.document, m.acceptedDigests = s.GetHead(), s.GetDocument(), s.GetAccepted()
 	m.carryoverEndTerm = s.GetCarryEnded()
+	for _, d := range s.GetFailureDomains() {
+		m.domains[d.GetName()] = d
+	}
 	for _, name := range s.GetHolders() {
 		m.holders[name] = true
 	}
--- a/internal/cmd/cmd.go
+++ b/internal/cmd/cmd.go
@@ -38,6 +38,7 @@
 		cmdAccount, cmdAccountCreate, cmdAccountSet, cmdAccountShow, cmdAccountList,
 		cmdKey, cmdKeyIssue, cmdKeyWithdraw, cmdKeyList,
 		cmdSettings, cmdSettingsGet, cmdSettingsSet, cmdSettingsUnset,
+		cmdDomain, cmdDomainEvacuate, cmdDomainRestore, cmdDomainList,
 		cmdControl, cmdControlStatus, cmdControlRemove, cmdControlTransfer,
 	}
 }
--- a/internal/controller/admin.go
+++ b/internal/controller/admin.go
@@ -13,7 +13,7 @@
 	switch ch := cmd.GetChange().(type) {
 	case *schema.Command_ChangeReplica:
 		return c.changeReplica(ctx, ch.ChangeReplica), nil
-	case *schema.Command_Claims, nil:
+	case *schema.Command_Claims, *schema.Command_NoteDomains, nil:
 		return &schema.Result{Status: schema.ResultStatus_RESULT_STATUS_INVALID, Message: "not a command for operators"}, nil
 	default:
 		return c.proposeAndWait(ctx, cmd), nil
--- a/internal/controller/leadership.go
+++ b/internal/controller/leadership.go
@@ -50,6 +50,8 @@
 	// carryoverEndRecorded is set once an entry that records the end of the carry-over from earlier leaders is proposed. It
 	// is cleared if the proposal fails.
 	carryoverEndRecorded bool
+	// domainsPending is set while an entry that records failure domains is proposed.
+	domainsPending bool
 }
 
 // nodeState is the state that a node reported in its last exchange.
@@ -59,6 +61,7 @@
 	lastContact  time.Time
 	revision     uint64
 	adminAddress string
+	domain       string
 	// suspect is set while the node's workers are suspect.
 	suspect bool
 	// hasAllDemands is set once the node has reported all of its demands in this epoch.
@@ -165,6 +168,7 @@
 	c.leading.refreshAggregators(now)
 	c.reconcileHolders(now)
 	c.recordCarryoverEnd(now)
+	c.reconcileDomains(now)
 	c.reconcileReplicas(now)
 }
 
@@ -196,6 +200,7 @@
 		l.nodes[req.GetNode()] = n
 	}
 	n.lastContact, n.revision, n.adminAddress = now, req.GetHaveRevision(), req.GetAdminAddress()
+	n.domain = req.GetFailureDomain()
 	l.setSuspect(n, false)
 	if resolver.Fingerprint(n.workers) != resolver.Fingerprint(req.GetWorkers()) {
 		l.removeWorkers(n)
--- a/internal/controller/proposal.go
+++ b/internal/controller/proposal.go
@@ -61,6 +61,10 @@
 			result <- refusal
 			return
 		}
+		if refusal := c.prepareEvacuation(cmd, now); refusal != nil {
+			result <- refusal
+			return
+		}
 		done := func(out applier.Outcome, ok bool) {
 			if !ok {
 				out.Result = unknownResult()
