Bound the requests to a cold upstream

Cause: an upstream that has just started takes few requests, 11 per second in one fleet, and crashes well above that. Its gate admitted up to all of its slots at once.

Ruled out: counting admissions in a sliding second, which lets a full second's requests start at once and two of them meet in transit; a bound at the senders alone, since each of them knows only its own calls.

Change: while an upstream is cold its gate admits by a token bucket of coldPerS and a small burst, which stays below coldPerS x coldExcess + coldSlack in any 1.25 s. Other calls wait while their time allows, 0.1 s if they were not refused elsewhere, or are refused as overloaded and rerouted without drawing on the retry budget. Such refusals do not raise the level. Responses and worker lists tell senders, which send a small share. An upstream that has not told yet counts as cold. Figures are clamped to a minute. Services without coldPerS behave as before.

--- a/conventions_test.go
+++ b/conventions_test.go
@@ -17,6 +17,7 @@
 	names := []string{
 		"X-Attempt-Id", "X-Deadline-Ms", "X-Server-Stamp", "X-Expect-Instance", "X-Not-Executed", "X-Caller-Service",
 		"X-Server-Load", "X-Instance-Id", "X-Tenant", "apiKeys", "trafficSplit", "heartbeatAddr", "coldLeftS", "pathPrefix",
+		"X-Cold-Ms", "coldPerS", "evacuateS",
 	}
 	err := filepath.WalkDir(".", func(path string, _ fs.DirEntry, err error) error {
 		if err != nil || !strings.HasSuffix(path, ".go") || strings.HasSuffix(path, "_test.go") ||
--- a/deploy_test.go
+++ b/deploy_test.go
@@ -7,6 +7,7 @@
 	"regexp"
 	"strings"
 	"testing"
+	"time"
 
 	"github.com/lavenderhub/lavenderhub/internal/parser"
 	"github.com/lavenderhub/lavenderhub/schema"
@@ -96,6 +97,18 @@
 		n.GetCallerAddress() != "10.1.0.26:8548" || len(n.GetControlAddresses()) != 2 || node.GetTerms().GetRetrySlack() != 49 {
 		t.Errorf("node settings %v", node)
 	}
+	if terms := node.GetTerms(); terms.GetColdExcess() != 1 || terms.GetColdSlack() != 0 || terms.GetEvacuateLimit() != nil {
+		t.Errorf("terms without bounds on cold upstreams and evacuations: %v", terms)
+	}
+	bounded := strings.Replace(nodeFields, `"drainS":2`, `"coldExcess":1.5,"coldSlack":8,"evacuateS":5,"drainS":2`, 1)
+	node, err = parser.Parse("node", []byte(render(t, string(template), bounded)))
+	if err != nil {
+		t.Fatal(err)
+	}
+	if terms := node.GetTerms(); terms.GetColdExcess() != 1.5 || terms.GetColdSlack() != 8 ||
+		terms.GetEvacuateLimit().AsDuration() != 5*time.Second || terms.GetRetryWindow().AsDuration() != 10*time.Second {
+		t.Errorf("terms with bounds on cold upstreams and evacuations: %v", terms)
+	}
 	control, err := parser.Parse("control", []byte(render(t, string(template), controlFields)))
 	if err != nil {
 		t.Fatal(err)
--- a/internal/admitter/gate.go
+++ b/internal/admitter/gate.go
@@ -50,6 +50,8 @@
 	Draining
 	// Canceled means that the caller's context ended.
 	Canceled
+	// Cold means that the upstream is cold and takes no further request now.
+	Cold
 )
 
 // Gate admits requests to one upstream. It is safe for concurrent use.
@@ -79,6 +81,7 @@
 	adaptive      AdaptiveMode
 	// reportsSlowdown reports whether the upstream has reported a slowdown of its host.
 	reportsSlowdown bool
+	cold            coldState
 }
 
 // Option configures a Gate.
@@ -151,14 +154,21 @@
 		g.mu.Unlock()
 		return Ticket{}, d
 	}
-	if g.unlimited || (g.queue.Len() == 0 && g.inflight < g.limit.current()) {
+	if g.unlimited || (g.queue.Len() == 0 && g.inflight < g.limit.current() && g.cold.take(now)) {
 		g.start()
 		g.mu.Unlock()
 		return Ticket{gate: g}, Admitted
 	}
+	if g.isTooCold(req, now) {
+		g.mu.Unlock()
+		return Ticket{}, Cold
+	}
 	w := g.enqueue(req, now)
 	g.dispatch(now)
 	wait := min(g.maxWait(req), w.lastStart.Sub(now))
+	if g.cold.isCold(now) {
+		wait = g.coldWait(req, now)
+	}
 	g.mu.Unlock()
 	return g.await(ctx, w, wait)
 }
@@ -242,8 +252,13 @@
 	heap.Remove(&g.queue, w.index)
 	if d == Shed {
 		now := g.timer.Now()
-		g.queueShed = true
-		g.level.recordShed(w.req.Rank, now)
+		if g.cold.isCold(now) {
+			// Other upstreams of the service may be warm, so the level must not rise.
+			d = Cold
+		} else {
+			g.queueShed = true
+			g.level.recordShed(w.req.Rank, now)
+		}
 		if !now.Before(w.lastStart) {
 			d = DeadlineExceeded
 		}
@@ -288,7 +303,7 @@
 
 // dispatch admits waiting requests while the limit allows it.
 func (g *Gate) dispatch(now time.Time) {
-	for g.queue.Len() > 0 && g.inflight < g.limit.current() {
+	for g.queue.Len() > 0 && g.inflight < g.limit.current() && g.cold.hasRoom(now) {
 		w := heap.Pop(&g.queue).(*waiter)
 		if now.After(g.lastStart(w.req)) {
 			w.decision <- DeadlineExceeded
@@ -300,9 +315,11 @@
 			continue
 		}
 		g.checkOrder(w)
+		g.cold.take(now)
 		g.start()
 		w.decision <- Admitted
 	}
+	g.scheduleColdDispatch(now)
 	if g.queue.Len() == 0 {
 		g.standingQueue = false
 	}
@@ -359,6 +376,9 @@
 func (g *Gate) pressure() pressure {
 	waiting := float64(g.queue.Len()) / float64(g.limit.current())
 	switch {
+	case g.cold.isCold(g.windowStart):
+		// The queue of a cold upstream is short of tokens, not of slots.
+		return relaxed
 	case g.queueShed || (g.standingQueue && waiting > longQueue):
 		return overloaded
 	case waiting > shortQueue:
@@ -376,6 +396,8 @@
 	Load float64
 	// Mean is the mean request time.
 	Mean time.Duration
+	// ColdLeft is how much longer the upstream counts as cold.
+	ColdLeft time.Duration
 }
 
 // Report returns the gate's current state.
@@ -385,14 +407,14 @@
 	now := g.timer.Now()
 	g.endWindow(now)
 	load := float64(g.inflight+g.queue.Len()) / float64(g.limit.current())
-	return Report{Level: g.level.current(now), Load: load, Mean: g.mean}
+	return Report{Level: g.level.current(now), Load: load, Mean: g.mean, ColdLeft: g.coldLeft(now)}
 }
 
 // HasRoom reports whether a slot is free and no request is waiting.
 func (g *Gate) HasRoom() bool {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	return !g.draining && g.queue.Len() == 0 && g.inflight < g.limit.current()
+	return !g.draining && g.queue.Len() == 0 && g.inflight < g.limit.current() && g.cold.hasRoom(g.timer.Now())
 }
 
 // Inflight returns the number of requests in progress.
--- a/internal/announcer/announcement.go
+++ b/internal/announcer/announcement.go
@@ -39,6 +39,8 @@
 	// Sequence grows with each heartbeat of an instance, so that heartbeats that arrive out of order can be ignored.
 	// Zero means that the heartbeats are not numbered.
 	Sequence uint64 `json:"sequence,omitempty"`
+	// ColdLeft is how much longer the upstream is cold, in nanoseconds. It is nil if the upstream does not tell.
+	ColdLeft *time.Duration `json:"coldLeft,omitempty"`
 }
 
 func validate(msg Announcement) (netip.AddrPort, schema.UpstreamState, error) {
--- a/internal/announcer/announcer.go
+++ b/internal/announcer/announcer.go
@@ -41,6 +41,8 @@
 	sequence      uint64
 	// adopted is true until the first heartbeat of an adopted instance.
 	adopted bool
+	// coldAssumed is true until the first heartbeat.
+	coldAssumed bool
 }
 
 // Announcer keeps the upstreams that are local to this node. It is safe for concurrent use.
@@ -53,6 +55,8 @@
 	heartbeatTimeout time.Duration
 	mu               sync.RWMutex
 	stopping         bool
+	evacuated        bool
+	coldLimit        func(service string) admitter.ColdLimit
 	byService        map[string]*Upstream
 	departures       map[string]departure
 	expiries         map[string]expiry
@@ -204,11 +208,8 @@
 	up.state, up.slots, up.lastHeartbeat, up.sequence = state, msg.Slots, a.timer.Now(), msg.Sequence
 	up.Gate.SetSlots(msg.Slots)
 	up.Gate.SetReportedLoad(msg.Load)
-	if state == schema.UpstreamState_UPSTREAM_STATE_READY && !a.stopping {
-		up.Gate.Resume()
-	} else {
-		up.Gate.Drain()
-	}
+	changed = up.recordCold(msg) || changed
+	a.applyState(up)
 	return changed
 }
 
@@ -226,9 +227,7 @@
 	}
 	up := a.newUpstream(msg, addr)
 	up.state, up.slots, up.lastHeartbeat, up.adopted = schema.UpstreamState_UPSTREAM_STATE_READY, slots, a.timer.Now(), true
-	if a.stopping {
-		up.Gate.Drain()
-	}
+	a.applyState(up)
 	a.byService[service] = up
 	a.mu.Unlock()
 	a.onChange()
@@ -239,10 +238,12 @@
 	return &Upstream{
 		Service:  msg.Service,
 		Address:  addr,
-		Gate:     admitter.New(msg.Slots, a.timer, a.assert, a.gateOpts...),
+		Gate:     admitter.New(msg.Slots, a.timer, a.assert, a.gateOptions(msg.Service)...),
 		Pool:     exchanger.New(addr, a.timer, a.poolOpts...),
 		Instance: msg.Instance,
 		began:    msg.Began,
+
+		coldAssumed: true,
 	}
 }
 
@@ -369,7 +370,9 @@
 		if a.stopping {
 			state = schema.UpstreamState_UPSTREAM_STATE_DRAINING
 		}
-		out = append(out, &schema.Worker{Service: up.Service, Slots: uint32(up.slots), State: state, Instance: up.Instance})
+		out = append(out, &schema.Worker{
+			Service: up.Service, Slots: uint32(up.slots), State: state, Instance: up.Instance, Cold: up.Gate.ColdLeft() > 0,
+		})
 	}
 	slices.SortFunc(out, func(x, y *schema.Worker) int { return strings.Compare(x.GetService(), y.GetService()) })
 	return out
--- a/internal/forwarder/attempt.go
+++ b/internal/forwarder/attempt.go
@@ -67,6 +67,7 @@
 func (f *Forwarder) sendToWorker(ctx context.Context, c *call, t *router.Target) (*response, *refuser.Refusal) {
 	t.Start()
 	start := f.Timer.Now()
+	t.RecordSend(start)
 	var resp *response
 	var ref *refuser.Refusal
 	var report hopReport
@@ -82,6 +83,9 @@
 	if report.hasRetryShare {
 		f.reportedRetryShares.Record(c.route.Service, report.retryShare, now)
 	}
+	if report.hasRetryShare {
+		t.RecordCold(report.coldLeft, now)
+	}
 	if report.hasRetryShare && c.fromLocalUpstream {
 		f.nestedRetryShares.Record(c.route.Service, report.retryShare, now)
 	}
--- a/internal/forwarder/forwarder.go
+++ b/internal/forwarder/forwarder.go
@@ -209,6 +209,7 @@
 	hops         metrics.Counter
 	retries      metrics.Counter
 	reroutes     metrics.Counter
+	coldRefusals metrics.Counter
 	upstreamTime metrics.Timer
 	accounts     *accountMeters
 	registry     metrics.Registry
@@ -221,6 +222,7 @@
 		hops:         metrics.GetOrRegisterCounter("requests.hop", r),
 		retries:      metrics.GetOrRegisterCounter("retries", r),
 		reroutes:     metrics.GetOrRegisterCounter("reroutes", r),
+		coldRefusals: metrics.GetOrRegisterCounter("gate.coldRefusals", r),
 		upstreamTime: metrics.GetOrRegisterTimer("gate.upstreamTime", r),
 		accounts:     &accountMeters{registry: r, byAccount: map[string]*accountMeter{}},
 		registry:     r,
--- a/internal/forwarder/headers.go
+++ b/internal/forwarder/headers.go
@@ -24,6 +24,7 @@
 	headerSpent             = "Lavenderhub-Spent"
 	headerFinal             = "Lavenderhub-Final"
 	headerRetryShare        = "Lavenderhub-Repeats"
+	headerCold              = "Lavenderhub-Cold"
 	headerIdempotencyKey    = "Idempotency-Key"
 	headerIdempotencyWindow = "Lavenderhub-Idempotency-Window"
 )
--- a/internal/forwarder/log.go
+++ b/internal/forwarder/log.go
@@ -92,6 +92,7 @@
 			zap.String("id", c.logID()), zap.String("service", c.route.Service), zap.String("instance", up.Instance),
 			zap.String("outcome", string(gateRefusal(d).Reason)), zap.Uint32("rank", uint32(c.rank)), zap.Uint32("level", uint32(s.Level)),
 			zap.Float64("load", s.Load), zap.Duration("mean", s.Mean), zap.Duration("left", f.remaining(c.deadline)),
+			zap.Duration("coldLeft", s.ColdLeft),
 		}
 	})
 }
--- a/internal/forwarder/response.go
+++ b/internal/forwarder/response.go
@@ -4,6 +4,7 @@
 	"io"
 	"net/http"
 	"strconv"
+	"time"
 
 	"github.com/pkg/errors"
 
@@ -26,6 +27,8 @@
 	// retryShare is the highest retry share among the service and the services that it calls.
 	retryShare    float64
 	hasRetryShare bool
+	// coldLeft is how much longer the upstream is cold. It is zero if it is not.
+	coldLeft time.Duration
 }
 
 // Values of the Lavenderhub-Final header, which keeps the previous hop from retrying.
@@ -43,6 +46,9 @@
 	if r.hasRetryShare {
 		h.Set(headerRetryShare, strconv.FormatFloat(r.retryShare, 'f', 4, 64))
 	}
+	if r.coldLeft > 0 {
+		h.Set(headerCold, strconv.FormatInt(r.coldLeft.Milliseconds()+1, 10))
+	}
 	switch {
 	case r.shed:
 		h.Set(headerFinal, finalShed)
@@ -65,6 +71,9 @@
 	if x, err := strconv.ParseFloat(h.Get(headerRetryShare), 64); err == nil && x >= 0 {
 		report.retryShare, report.hasRetryShare = x, true
 	}
+	if n, err := strconv.ParseUint(h.Get(headerCold), 10, 32); err == nil {
+		report.coldLeft = time.Duration(n) * time.Millisecond
+	}
 	report.final = h.Get(headerFinal) != ""
 	report.shed = h.Get(headerFinal) == finalShed
 	return report
--- a/internal/forwarder/upstream.go
+++ b/internal/forwarder/upstream.go
@@ -21,6 +21,9 @@
 	ticket, decision := up.Gate.Admit(ctx, admitter.Request{
 		Rank: c.rank, Deadline: c.deadline, Rerouted: c.rerouted, MaxWait: c.maxWait,
 	})
+	if decision == admitter.Cold {
+		f.meters.coldRefusals.Inc(1)
+	}
 	if decision != admitter.Admitted {
 		f.logGateRefusal(c, up, decision)
 		return nil, gateRefusal(decision), f.newReport(up, c, nestedSummary{})
@@ -83,6 +86,8 @@
 		return refuser.New(refuser.NotRun, refuser.DeadlineExceeded, "the request can't finish by its deadline")
 	case admitter.Draining:
 		return refuseNotRun(refuser.Draining, "the upstream takes no new work")
+	case admitter.Cold:
+		return refuseNotRun(refuser.Overloaded, "the upstream has just started and takes few requests")
 	case admitter.Canceled:
 		return refuser.New(refuser.NotRun, refuser.CallerLeft, "the caller went away")
 	default:
@@ -95,6 +100,7 @@
 	return hopReport{
 		level: max(uint32(gate.Level), nested.level), load: gate.Load, spentRetries: c.retryBudget.Spent(), hasSpentRetries: true,
 		retryShare: max(f.retryMeterOf(up.Service).Share(now), f.nestedRetryShares.Highest(now)), hasRetryShare: true,
+		coldLeft: gate.ColdLeft,
 	}
 }
 
--- a/internal/prober/prober.go
+++ b/internal/prober/prober.go
@@ -32,6 +32,8 @@
 	Instance string
 	// Slots is zero if the response does not tell the number of slots.
 	Slots int
+	// ColdLeft is how much longer the upstream is cold. It is nil if the response does not tell.
+	ColdLeft *time.Duration
 }
 
 // Parts are the dependencies and settings of a Prober.
@@ -131,6 +133,9 @@
 	}
 	p.Log.Info("upstreamFound", zap.String("service", p.Service), zap.Stringer("address", addr),
 		zap.String("instance", health.Instance), zap.Int("slots", health.Slots))
+	if health.ColdLeft != nil {
+		p.Announcer.AdoptCold(p.Service, health.Instance, *health.ColdLeft)
+	}
 }
 
 func (p *Prober) check(ctx context.Context, addr netip.AddrPort, path string) (Health, error) {
--- a/internal/resolver/view.go
+++ b/internal/resolver/view.go
@@ -78,6 +78,9 @@
 	Limits *schema.CallerLimits
 	// healthPaths holds the path of each service's health check.
 	healthPaths map[string]string
+	// coldRates holds the requests per second that a cold upstream of a service takes.
+	coldRates map[string]float64
+	evacuated map[string]bool
 }
 
 // HealthPath returns the path of the health check of a service's upstreams. It is empty if the service has none.
@@ -145,6 +148,7 @@
 	tokenKeys  map[uint32]*schema.TokenKey
 	hostRoutes map[string]*schema.HostRoute
 	head       *schema.ConfigurationHead
+	domains    map[string]*schema.FailureDomain
 }
 
 // NewViewBuilder returns a builder without any settings.
@@ -155,6 +159,7 @@
 		keys:       map[string]*schema.Key{},
 		tokenKeys:  map[uint32]*schema.TokenKey{},
 		hostRoutes: map[string]*schema.HostRoute{},
+		domains:    map[string]*schema.FailureDomain{},
 	}
 }
 
@@ -185,6 +190,9 @@
 	for _, r := range d.GetHostRoutes() {
 		vb.hostRoutes[r.GetName()] = r
 	}
+	for _, f := range d.GetFailureDomains() {
+		vb.domains[f.GetName()] = f
+	}
 	if d.GetHead() != nil {
 		vb.head = d.GetHead()
 	}
@@ -221,10 +229,12 @@
 	vb.buildRoutes(v)
 	v.hostRoutes = buildHostRoutes(vb.hostRoutes)
 	v.Limits = vb.head.GetLimits()
-	v.healthPaths = map[string]string{}
+	v.healthPaths, v.coldRates = map[string]string{}, map[string]float64{}
 	for _, s := range vb.head.GetServices() {
 		v.healthPaths[s.GetName()] = s.GetHealthPath()
+		v.coldRates[s.GetName()] = s.GetColdRate()
 	}
+	v.evacuated = evacuatedDomains(vb.domains)
 	return v
 }
 
@@ -292,6 +302,9 @@
 			w.GetNode(), w.GetService(), w.GetPeerAddress(), w.GetFailureDomain(), w.GetRegion(),
 			strconv.FormatUint(uint64(w.GetSlots()), 10), w.GetState().String(), w.GetInstance(),
 		}, "\n")
+		if w.GetCold() {
+			text += "\ncold"
+		}
 		sum ^= xxhash.Sum64String(text)
 	}
 	return sum
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -41,6 +41,9 @@
 	services sync.Map // string to *atomic.Pointer[[]*Target]
 	random   func(n int) int
 	uniform  bool
+	// coldShare returns how many calls per second this node may send to one cold worker of a service.
+	coldShare func(service string) float64
+	evacuated atomic.Pointer[map[string]bool]
 }
 
 // Option configures a Router.
@@ -131,7 +134,7 @@
 // ReadyWorkers returns the number of workers of a service that accept calls.
 func (r *Router) ReadyWorkers(service string) int {
 	n := 0
-	for _, t := range r.targets(service) {
+	for _, t := range r.inUse(r.targets(service)) {
 		if t.ready.Load() {
 			n++
 		}
@@ -206,10 +209,10 @@
 
 // candidates returns the workers that may serve a call: the ready ones, or the suspect ones if none is ready.
 func (r *Router) candidates(service string, tried []*Target, now time.Time) []*Target {
-	all := r.targets(service)
+	all := r.inUse(r.targets(service))
 	isReady := func(t *Target) bool { return t.ready.Load() }
 	if slices.ContainsFunc(all, isReady) {
-		return eligible(all, tried, now, isReady)
+		return r.withoutCold(service, eligible(all, tried, now, isReady), now)
 	}
 	return eligible(all, tried, now, func(t *Target) bool { return t.suspect.Load() })
 }
--- a/internal/router/target.go
+++ b/internal/router/target.go
@@ -46,6 +46,7 @@
 	suspect  atomic.Bool
 	inflight atomic.Int32
 	instance atomic.Pointer[string]
+	cold     coldness
 
 	mu           sync.Mutex
 	latency      time.Duration
@@ -78,6 +79,7 @@
 	t.suspect.Store(w.GetState() == schema.UpstreamState_UPSTREAM_STATE_SUSPECT)
 	instance := w.GetInstance()
 	t.instance.Store(&instance)
+	t.cold.announce(w.GetCold())
 }
 
 // Instance returns the ID of the expected upstream instance, or an empty string if the upstream reported none.
--- a/internal/runner/node.go
+++ b/internal/runner/node.go
@@ -98,14 +98,16 @@
 	n.peerPool = dialer.NewPool(b.Security, b.Timer, dialer.WithDial(b.Dial))
 	n.controlPool = dialer.NewPool(b.Security, b.Timer, dialer.WithDial(b.Dial))
 	n.recorder = reporter.NewRecorder(b.Timer)
-	n.router = router.New(cfg.GetName(), cfg.GetFailureDomain(), cfg.GetRegion(), baseline.Router...)
+	n.router = router.New(cfg.GetName(), cfg.GetFailureDomain(), cfg.GetRegion(),
+		append([]router.Option{router.WithColdShare(n.coldShare)}, baseline.Router...)...)
 	n.face = newFace(cfg)
 	proberOpts, err := n.newProber()
 	if err != nil {
 		return nil, err
 	}
 	n.announcer = announcer.New(b.Timer, b.Assert,
-		append(n.face.announcerOptions(func() { n.syncer.Wake() }, n.gateOptions(baseline)), proberOpts...)...)
+		append(n.face.announcerOptions(func() { n.syncer.Wake() }, n.gateOptions(baseline)),
+			append(proberOpts, announcer.WithColdLimits(n.coldLimit))...)...)
 	callerListener, err := listen(cfg.GetCallerAddress())
 	if err != nil {
 		return nil, err
