Keep requests from the upstreams of an evacuated failure domain

Cause: nodes got the evacuations with their exchanges and did not act on them.

Ruled out: gates that refuse at once. A node in the domain that has not learned of it yet would choose up to three workers of its own domain, one after the other, and refuse the request.

Change: routers leave out the workers of evacuated domains as soon as the node learns of it. Requests in progress complete. Nodes make no health checks of their upstream meanwhile.

Tests: TestApply, TestPlatformEvacuation, TestPlatformEvacuationRequests, TestPlatformColdUpstream.

--- a/internal/runner/node.go
+++ b/internal/runner/node.go
@@ -19,6 +19,7 @@
 	"github.com/lavenderhub/lavenderhub/internal/announcer"
 	"github.com/lavenderhub/lavenderhub/internal/asserter"
 	"github.com/lavenderhub/lavenderhub/internal/dialer"
+	"github.com/lavenderhub/lavenderhub/internal/evacuator"
 	"github.com/lavenderhub/lavenderhub/internal/forwarder"
 	"github.com/lavenderhub/lavenderhub/internal/prober"
 	"github.com/lavenderhub/lavenderhub/internal/reporter"
@@ -81,6 +82,7 @@
 	router       *router.Router
 	syncer       *syncer.Syncer
 	aggregator   *aggregator.Aggregator
+	evacuator    *evacuator.Evacuator
 	forwarder    *forwarder.Forwarder
 	recorder     *reporter.Recorder
 	peerPool     *dialer.Pool
@@ -168,7 +170,8 @@
 	n.prober = prober.New(prober.Parts{
 		Timer: n.Timer, Log: n.Log, Service: service, Address: addr, ReadHealth: n.face.readHealth,
 		HealthPath: func() (string, bool) {
-			if view := n.syncer.View(); view != nil {
+			// Health checks are kept from an evacuated upstream too.
+			if view := n.syncer.View(); view != nil && !view.Evacuated()[n.cfg.GetFailureDomain()] {
 				return view.HealthPath(service), true
 			}
 			return "", false
@@ -211,6 +214,10 @@
 	if n.Clock != nil {
 		clock = n.Clock
 	}
+	n.evacuator = evacuator.New(evacuator.Parts{
+		Timer: n.Timer, Log: n.Log, Registry: n.Registry, Domain: n.cfg.GetFailureDomain(),
+		Limit: n.Terms.GetEvacuateLimit().AsDuration(), Route: n.router.SetEvacuated, Refuse: n.announcer.SetEvacuated,
+	})
 	n.syncer = syncer.New(syncer.Parts{
 		Node: syncer.Node{
 			Name: n.cfg.GetName(), FailureDomain: n.cfg.GetFailureDomain(), Region: n.cfg.GetRegion(),
@@ -219,6 +226,7 @@
 		MaxCertificateAge: maxCertificateAge(n.Terms),
 		ControlAddresses:  addresses, Token: n.FleetToken, Timer: clock, Log: n.Log, Assert: n.Assert, Registry: n.Registry,
 		Pool: n.controlPool, Router: n.router, Announcer: n.announcer, SplitOver: splitOver,
+		OnView: func(v *resolver.View, last time.Time) { n.evacuator.Apply(v.Evacuated(), last) },
 	})
 	n.aggregator = aggregator.New(aggregator.Parts{
 		Self: peerAddr, Timer: n.Timer, Registry: n.Registry, Pool: n.peerPool, Token: n.FleetToken,
@@ -392,6 +400,7 @@
 	if tombErr := n.tomb.Wait(); err == nil {
 		err = tombErr
 	}
+	n.evacuator.Stop()
 	n.peerPool.Close()
 	n.controlPool.Close()
 	n.Log.Info("nodeStopped", zap.String("node", n.cfg.GetName()))
--- a/internal/syncer/request.go
+++ b/internal/syncer/request.go
@@ -31,6 +31,9 @@
 	} else {
 		s.addWorkers(req)
 	}
+	if !req.GetAhead() {
+		req.FailureDomain = s.Node.FailureDomain
+	}
 	s.addWatches(req)
 	s.addDemands(req)
 	return req
--- a/internal/syncer/syncer.go
+++ b/internal/syncer/syncer.go
@@ -76,6 +76,9 @@
 	// SplitOver, if not zero, is the number of nodes that each rate is split over evenly, in place of grants. Experiments
 	// use it as a baseline.
 	SplitOver int
+	// OnView, if not nil, is called with each new view, on the goroutine that makes the exchanges. The previous view was the newest
+	// when the exchange before was sent, at the time last, which is zero if there was none.
+	OnView func(v *resolver.View, last time.Time)
 }
 
 // Syncer is the node's side of the exchange. One goroutine makes the exchanges; other goroutines read the view, the
@@ -115,6 +118,8 @@
 	// partialAllowed is set while the leader has all demands of this node and epoch.
 	partialAllowed         bool
 	aggregatorsFingerprint uint64
+	// lastSent is when the last successful exchange was sent.
+	lastSent time.Time
 	meter                  meters
 }
 
@@ -473,7 +478,11 @@
 	s.Assert.Check(asserter.VersionNeverReverts, s.viewBuilder.Revision() >= previous, "")
 	if reply.GetDelta() != nil || s.view.Load() == nil {
 		s.view.Store(s.viewBuilder.Build())
+		if s.OnView != nil {
+			s.OnView(s.view.Load(), s.lastSent)
+		}
 	}
+	s.lastSent = sent
 	// The leader was in contact with its quorum at most Age before it received the request, so no earlier than Age
 	// before the request was sent.
 	at := sent.Sub(s.started) - time.Duration(reply.GetAgeMicros())*time.Microsecond
