--- a/internal/announcer/cold_test.go
+++ b/internal/announcer/cold_test.go
@@ -21,7 +21,9 @@
 	restarted := heartbeat(1, nil)
 	restarted.Instance, restarted.Began = "i-2", time.UnixMilli(6)
 	adopt := func(a *Announcer) error { return a.Adopt("s", testAddress, "i-1", 8) }
-	announce := func(msg Announcement) func(*Announcer) error { return func(a *Announcer) error { return a.Announce(msg) } }
+	announce := func(msg Announcement) func(*Announcer) error {
+		return func(a *Announcer) error { return a.Announce(msg) }
+	}
 	tests := []struct {
 		name  string
 		rate  float64
@@ -40,7 +42,7 @@
 		}}, 0},
 		{"adopted, then a heartbeat", 11, []func(*Announcer) error{adopt, announce(heartbeat(1, duration(0)))}, 0},
 		{"heartbeat without the figure", 11, []func(*Announcer) error{announce(heartbeat(1, nil))}, 0},
-		{"cold heartbeat", 11, []func(*Announcer) error{announce(heartbeat(1, duration(3 * time.Second)))}, 3 * time.Second},
+		{"cold heartbeat", 11, []func(*Announcer) error{announce(heartbeat(1, duration(3*time.Second)))}, 3 * time.Second},
 		{"cold heartbeat, then one without the figure", 11, []func(*Announcer) error{
 			announce(heartbeat(1, duration(3*time.Second))), announce(heartbeat(2, nil)),
 		}, 3 * time.Second},
--- a/internal/cmd/cmd_admin_domain.go
+++ b/internal/cmd/cmd_admin_domain.go
@@ -43,7 +43,9 @@
 	cmd := &schema.Command{Change: &schema.Command_EvacuateDomain{
 		EvacuateDomain: &schema.EvacuateDomain{Name: name, Restore: restore},
 	}}
-	return o.change(cmd, func(*schema.Result) string { return formatDomain(&schema.FailureDomain{Name: name, Evacuated: !restore}) })
+	return o.change(cmd, func(*schema.Result) string {
+		return formatDomain(&schema.FailureDomain{Name: name, Evacuated: !restore})
+	})
 }
 
 func formatDomain(d *schema.FailureDomain) string {
--- a/internal/runner/platform_evacuation_test.go
+++ b/internal/runner/platform_evacuation_test.go
@@ -10,6 +10,7 @@
 	"testing"
 	"time"
 
+	"github.com/rcrowley/go-metrics"
 	"go.uber.org/zap"
 	"google.golang.org/protobuf/types/known/durationpb"
 
@@ -103,6 +104,15 @@
 	return len(w.requests)
 }
 
+// reroutes returns the number of reroutes at all nodes.
+func (f *domainFleet) reroutes() int64 {
+	total := int64(0)
+	for _, p := range f.nodes {
+		total += metrics.GetOrRegisterCounter("reroutes", p.Registry).Count()
+	}
+	return total
+}
+
 // checkEvacuated sends requests through all nodes, and checks that none reaches an upstream in za.
 func (f *domainFleet) checkEvacuated(when string) {
 	f.t.Helper()
@@ -143,7 +153,16 @@
 	if failed := stopLoad(); len(failed) > 0 {
 		t.Errorf("%d requests failed while the evacuation began, the first: %s", len(failed), failed[0])
 	}
+	before := f.reroutes()
 	f.checkEvacuated("in force")
+	if n := f.reroutes() - before; n > 0 {
+		t.Errorf("%d requests were sent to the evacuated domain and refused there", n)
+	}
+	// Senders that have not learned of the evacuation are refused by the gates.
+	for _, p := range f.nodes {
+		p.node.router.SetEvacuated(nil)
+	}
+	f.checkEvacuated("with senders that have not learned of it")
 
 	for i := range f.controls {
 		if err := f.controls[i].control.Kill(); err != nil {
@@ -176,12 +195,12 @@
 
 	f.evacuation(2, "za", "finish", http.StatusOK)
 	f.evacuation(0, "za", "finish", http.StatusOK)
-	before := []int{f.requestsAt(0), f.requestsAt(2)}
+	served := []int{f.requestsAt(0), f.requestsAt(2)}
 	f.heartbeat(0, "ready", 3)
 	f.waitServed()
 	waitUntil(t, "the upstreams of the domain serve again", func() bool {
 		f.get(0, "/zero/x")
-		return f.requestsAt(0) > before[0] && f.requestsAt(2) > before[1]
+		return f.requestsAt(0) > served[0] && f.requestsAt(2) > served[1]
 	})
 }
 
--- a/internal/syncer/syncer.go
+++ b/internal/syncer/syncer.go
@@ -120,7 +120,7 @@
 	aggregatorsFingerprint uint64
 	// lastSent is when the last successful exchange was sent.
 	lastSent time.Time
-	meter                  meters
+	meter    meters
 }
 
 type meters struct {
