--- a/internal/announcer/announcement.go
+++ b/internal/announcer/announcement.go
@@ -39,8 +39,9 @@
 	// Sequence grows with each heartbeat of an instance, so that heartbeats that arrive out of order can be ignored.
 	// Zero means that the heartbeats are not numbered.
 	Sequence uint64 `json:"sequence,omitempty"`
-	// ColdLeft is how much longer the upstream is cold, in nanoseconds. It is nil if the upstream does not tell.
-	ColdLeft *time.Duration `json:"coldLeft,omitempty"`
+	// ColdLeft is how much longer the upstream is cold. It is nil if the upstream does not tell. Only full configurations, which the
+	// native protocol lacks, set the rate of cold upstreams.
+	ColdLeft *time.Duration `json:"-"`
 }
 
 func validate(msg Announcement) (netip.AddrPort, schema.UpstreamState, error) {
--- a/internal/applier/domains.go
+++ b/internal/applier/domains.go
@@ -14,7 +14,7 @@
 // noteDomains records the names of failure domains. It sends nothing to nodes.
 func (m *Machine) noteDomains(c *schema.NoteDomains) {
 	for _, name := range c.GetNames() {
-		if m.domains[name] == nil && len(m.domains) < maxDomains && resolver.IsName(name) {
+		if m.CanNoteDomain(name) {
 			m.domains[name] = &schema.FailureDomain{Name: name}
 		}
 	}
@@ -32,6 +32,11 @@
 	return &schema.Result{Status: schema.ResultStatus_RESULT_STATUS_OK}
 }
 
+// CanNoteDomain reports whether a failure domain is not known and can be recorded.
+func (m *Machine) CanNoteDomain(name string) bool {
+	return m.domains[name] == nil && len(m.domains) < maxDomains && resolver.IsName(name)
+}
+
 // HasDomain reports whether a failure domain is known.
 func (m *Machine) HasDomain(name string) bool {
 	return m.domains[name] != nil
--- a/internal/controller/domains.go
+++ b/internal/controller/domains.go
@@ -16,7 +16,7 @@
 func (c *Controller) unnotedDomains() []string {
 	var out []string
 	add := func(name string) {
-		if name != "" && !c.machine.HasDomain(name) && !slices.Contains(out, name) {
+		if c.machine.CanNoteDomain(name) && !slices.Contains(out, name) {
 			out = append(out, name)
 		}
 	}
@@ -45,7 +45,7 @@
 // there are.
 func (c *Controller) prepareEvacuation(cmd *schema.Command, now time.Time) *schema.Result {
 	e := cmd.GetEvacuateDomain()
-	if e == nil || c.machine.HasDomain(e.GetName()) {
+	if e == nil || c.leading == nil || c.machine.HasDomain(e.GetName()) {
 		return nil
 	}
 	if slices.Contains(c.unnotedDomains(), e.GetName()) {
@@ -54,7 +54,7 @@
 		c.propose(note, now, func(applier.Outcome, bool) {})
 		return nil
 	}
-	if c.leading != nil && c.leading.isMembershipComplete(now) {
+	if c.leading.isMembershipComplete(now) {
 		return nil
 	}
 	return &schema.Result{
