Choose the workers of a large service anew after an evacuation

Cause: a node sends calls to at most 20 workers of a service, two thirds of them in its own failure domain. After the evacuation of a domain it used only the rest of these, with three domains 7 of 36 workers, or with two domains evacuated 3 of 18.

Ruled out: leaving out the evacuated workers at the control leader, which would lose the state when a node has no contact.

Change: the router keeps all workers of large services and chooses again when the evacuated domains change.

--- a/internal/router/cold_test.go
+++ b/internal/router/cold_test.go
@@ -1,8 +1,11 @@
 package router
 
 import (
+	"fmt"
 	"testing"
 	"time"
+
+	"github.com/lavenderhub/lavenderhub/schema"
 )
 
 // TestPickEvacuated guards against calls to workers of an evacuated failure domain.
@@ -45,6 +48,45 @@
 	}
 }
 
+// TestEvacuatedDomainsOfLargeService guards against a node that finds no worker of a service in the domains left, because all of the
+// workers that it had chosen are in evacuated ones.
+func TestEvacuatedDomainsOfLargeService(t *testing.T) {
+	tests := []struct {
+		domains []string
+		// want is the number of workers that get calls.
+		want int
+	}{
+		{nil, subsetSize},
+		{[]string{"a"}, subsetSize},
+		{[]string{"a", "b"}, 18},
+		{[]string{"b", "c"}, 18},
+		{[]string{"a", "b", "c"}, 0},
+		{nil, subsetSize},
+	}
+	r := New("entry", "a", "r")
+	var workers []*schema.Worker
+	for _, domain := range []string{"a", "b", "c"} {
+		for i := range 18 {
+			workers = append(workers, worker(fmt.Sprintf("n%s%d", domain, i), domain, 10))
+		}
+	}
+	r.SetWorkers("s", workers)
+	for _, tt := range tests {
+		domains := map[string]bool{}
+		for _, d := range tt.domains {
+			domains[d] = true
+		}
+		r.SetEvacuated(domains)
+		if n := r.ReadyWorkers("s"); n != tt.want || !r.HasWorkers("s") {
+			t.Errorf("%v evacuated: %d workers, known: %v; want %d, true", tt.domains, n, r.HasWorkers("s"), tt.want)
+		}
+		r.SetWorkers("s", workers)
+		if n := r.ReadyWorkers("s"); n != tt.want {
+			t.Errorf("%v evacuated: %d workers after a change of the membership, want %d", tt.domains, n, tt.want)
+		}
+	}
+}
+
 // TestColdShare guards against senders that overload a cold worker together, and against a cold worker that gets no calls at all.
 func TestColdShare(t *testing.T) {
 	cold := func(target *Target, now time.Time) { target.RecordCold(time.Hour, now) }
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -44,6 +44,7 @@
 	// coldShare returns how many calls per second this node may send to one cold worker of a service.
 	coldShare func(service string) float64
 	evacuated atomic.Pointer[map[string]bool]
+	large     largeServices
 }
 
 // Option configures a Router.
@@ -70,6 +71,7 @@
 
 // SetWorkers replaces the workers of a service. Workers that remain keep their statistics.
 func (r *Router) SetWorkers(service string, workers []*schema.Worker) {
+	r.large.set(service, workers)
 	entry, _ := r.services.LoadOrStore(service, &atomic.Pointer[[]*Target]{})
 	p := entry.(*atomic.Pointer[[]*Target])
 	old := map[string]*Target{}
@@ -93,6 +95,7 @@
 // subset returns at most subsetSize of a service's workers. It prefers the nearest ones, and among equally near workers
 // those that rendezvous hashing assigns to this node, so that the load of all nodes is spread evenly.
 func (r *Router) subset(workers []*schema.Worker) []*schema.Worker {
+	workers = r.workersInUse(workers)
 	if len(workers) <= subsetSize {
 		return workers
 	}
