--- a/internal/admitter/gate.go
+++ b/internal/admitter/gate.go
@@ -53,6 +53,8 @@
 	Draining
 	// Canceled means that the caller's context ended.
 	Canceled
+	// Cold means that the upstream is cold and takes no further request now.
+	Cold
 )
 
 // Gate admits requests to one upstream. It is safe for concurrent use.
@@ -85,6 +87,7 @@
 	sharedHosts     func() bool
 	congestion      congestionMeter
 	learned         learned
+	cold            coldState
 }
 
 // Option configures a Gate.
@@ -160,15 +163,22 @@
 		g.mu.Unlock()
 		return Ticket{}, d
 	}
-	if g.unlimited || (g.queue.Len() == 0 && g.inflight < g.limit.current()) {
+	if g.unlimited || (g.queue.Len() == 0 && g.inflight < g.limit.current() && g.cold.take(now)) {
 		g.congestion.record(false, now)
 		g.start()
 		g.mu.Unlock()
 		return Ticket{gate: g}, Admitted
 	}
+	if g.isTooCold(req, now) {
+		g.mu.Unlock()
+		return Ticket{}, Cold
+	}
 	w := g.enqueue(req, now)
 	g.dispatch(now)
 	wait := min(g.maxWait(req, now), w.lastStart.Sub(now))
+	if g.cold.isCold(now) {
+		wait = g.coldWait(req, now)
+	}
 	g.mu.Unlock()
 	return g.await(ctx, w, wait)
 }
@@ -261,9 +271,14 @@
 		g.congestion.recordWait(w, now)
 	}
 	if d == Shed {
-		g.queueShed = true
-		g.congestion.record(true, now)
-		g.level.recordShed(w.req.Rank, now)
+		if g.cold.isCold(now) {
+			// Other upstreams of the service may be warm, so the level must not rise.
+			d = Cold
+		} else {
+			g.queueShed = true
+			g.congestion.record(true, now)
+			g.level.recordShed(w.req.Rank, now)
+		}
 		if !now.Before(w.lastStart) {
 			d = DeadlineExceeded
 		}
@@ -311,7 +326,7 @@
 
 // dispatch admits waiting requests while the limit allows it.
 func (g *Gate) dispatch(now time.Time) {
-	for g.queue.Len() > 0 && g.inflight < g.limit.current() {
+	for g.queue.Len() > 0 && g.inflight < g.limit.current() && g.cold.hasRoom(now) {
 		w := heap.Pop(&g.queue).(*waiter)
 		if now.After(g.lastStart(w.req)) {
 			g.congestion.record(true, now)
@@ -326,9 +341,11 @@
 		}
 		g.checkOrder(w)
 		g.congestion.recordWait(w, now)
+		g.cold.take(now)
 		g.start()
 		w.decision <- Admitted
 	}
+	g.scheduleColdDispatch(now)
 	if g.queue.Len() == 0 {
 		g.standingQueue = false
 	}
@@ -385,6 +402,9 @@
 func (g *Gate) pressure() pressure {
 	waiting := float64(g.queue.Len()) / float64(g.limit.current())
 	switch {
+	case g.cold.isCold(g.windowStart):
+		// The queue of a cold upstream is short of tokens, not of slots.
+		return relaxed
 	case g.queueShed || (g.standingQueue && waiting > longQueue):
 		return overloaded
 	case waiting > shortQueue:
@@ -406,6 +426,8 @@
 	// zero if the gate is not adaptive.
 	Congestion float64
 	Estimate
+	// ColdLeft is how much longer the upstream counts as cold.
+	ColdLeft time.Duration
 }
 
 // Report returns the gate's current state.
@@ -415,7 +437,7 @@
 	now := g.timer.Now()
 	g.endWindow(now)
 	load := float64(g.inflight+g.queue.Len()) / float64(g.limit.current())
-	report := Report{Level: g.level.current(now), Load: load, Mean: g.mean, Estimate: g.estimate(load, now)}
+	report := Report{Level: g.level.current(now), Load: load, Mean: g.mean, Estimate: g.estimate(load, now), ColdLeft: g.coldLeft(now)}
 	if g.isAdaptive() {
 		report.Congestion = g.congestion.value(now)
 	}
@@ -426,7 +448,7 @@
 func (g *Gate) HasRoom() bool {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	return !g.draining && g.queue.Len() == 0 && g.inflight < g.limit.current()
+	return !g.draining && g.queue.Len() == 0 && g.inflight < g.limit.current() && g.cold.hasRoom(g.timer.Now())
 }
 
 // Inflight returns the number of requests in progress.
--- a/internal/forwarder/headers.go
+++ b/internal/forwarder/headers.go
@@ -27,6 +27,7 @@
 	headerRetryShare        = "Lavenderhub-Repeats"
 	headerSuspended         = "Lavenderhub-Suspended-Ms"
 	headerCongestion        = "Lavenderhub-Congestion"
+	headerCold              = "Lavenderhub-Cold"
 	headerIdempotencyKey    = "Idempotency-Key"
 	headerIdempotencyWindow = "Lavenderhub-Idempotency-Window"
 )
--- a/internal/forwarder/response.go
+++ b/internal/forwarder/response.go
@@ -35,6 +35,8 @@
 	suspendedFor time.Duration
 	// congestion is the highest one among the service and the services that it calls.
 	congestion congestionReport
+	// coldLeft is how much longer the upstream is cold. It is zero if it is not.
+	coldLeft time.Duration
 }
 
 // Values of the Lavenderhub-Final header, which keeps the previous hop from retrying.
@@ -57,6 +59,9 @@
 		h.Set(headerSuspended, strconv.FormatInt(max(1, r.suspendedFor.Milliseconds()), 10))
 	}
 	r.congestion.write(h)
+	if r.coldLeft > 0 {
+		h.Set(headerCold, strconv.FormatInt(r.coldLeft.Milliseconds()+1, 10))
+	}
 	switch {
 	case r.shed:
 		h.Set(headerFinal, finalShed)
@@ -84,6 +89,9 @@
 		report.suspendedFor = time.Duration(ms) * time.Millisecond
 	}
 	report.congestion = readCongestion(h)
+	if n, err := strconv.ParseUint(h.Get(headerCold), 10, 32); err == nil {
+		report.coldLeft = time.Duration(n) * time.Millisecond
+	}
 	report.final = h.Get(headerFinal) != ""
 	report.shed = h.Get(headerFinal) == finalShed
 	return report
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -44,6 +44,10 @@
 	services sync.Map // string to *atomic.Pointer[[]*Target]
 	random   func(n int) int
 	uniform  bool
+	// coldShare returns how many calls per second this node may send to one cold worker of a service.
+	coldShare func(service string) float64
+	evacuated atomic.Pointer[map[string]bool]
+	large     largeServices
 }
 
 // Option configures a Router.
@@ -70,6 +74,7 @@
 
 // SetWorkers replaces the workers of a service. Workers that remain keep their statistics.
 func (r *Router) SetWorkers(service string, workers []*schema.Worker) {
+	r.large.set(service, workers)
 	entry, _ := r.services.LoadOrStore(service, &atomic.Pointer[[]*Target]{})
 	p := entry.(*atomic.Pointer[[]*Target])
 	old := map[string]*Target{}
@@ -97,6 +102,7 @@
 // subset returns at most subsetSize of a service's workers. It prefers the nearest ones, and among equally near workers
 // those that rendezvous hashing assigns to this node, so that the load of all nodes is spread evenly.
 func (r *Router) subset(workers []*schema.Worker) []*schema.Worker {
+	workers = r.workersInUse(workers)
 	if len(workers) <= subsetSize {
 		return workers
 	}
@@ -141,7 +147,7 @@
 // ReadyWorkers returns the number of workers of a service that accept calls.
 func (r *Router) ReadyWorkers(service string) int {
 	n := 0
-	for _, t := range r.targets(service) {
+	for _, t := range r.inUse(r.targets(service)) {
 		if t.ready.Load() {
 			n++
 		}
@@ -230,10 +236,10 @@
 
 // candidates returns the workers that may serve a call: the ready ones, or the suspect ones if none is ready.
 func (r *Router) candidates(service string, tried []*Target, now time.Time) []*Target {
-	all := r.targets(service)
+	all := r.inUse(r.targets(service))
 	isReady := func(t *Target) bool { return t.ready.Load() }
 	if slices.ContainsFunc(all, isReady) {
-		return eligible(all, tried, now, isReady)
+		return r.withoutCold(service, eligible(all, tried, now, isReady), now)
 	}
 	return eligible(all, tried, now, func(t *Target) bool { return t.suspect.Load() })
 }
--- a/internal/router/target.go
+++ b/internal/router/target.go
@@ -46,6 +46,7 @@
 	suspect  atomic.Bool
 	inflight atomic.Int32
 	instance atomic.Pointer[string]
+	cold     coldness
 
 	mu           sync.Mutex
 	latency      time.Duration
@@ -85,6 +86,7 @@
 	if old := t.instance.Swap(&instance); old != nil && *old != instance {
 		t.Suspend(0, time.Time{})
 	}
+	t.cold.announce(w.GetCold())
 }
 
 // Instance returns the ID of the expected upstream instance, or an empty string if the upstream reported none.
