Adapt to upstreams' responses where the platform's rules name faulty ones

Change: the node's settings hold the names of the platform's rules in force, and the protocol adapter reads them: adaptive control is on where upstreams may fail while their health checks are good. Fleets without that rule are served as before.

Tests: TestExpectsFaultyUpstreams, TestTemplateRendersSettings.

--- a/deploy_test.go
+++ b/deploy_test.go
@@ -5,6 +5,7 @@
 	"os"
 	"path/filepath"
 	"regexp"
+	"slices"
 	"strings"
 	"testing"
 	"time"
@@ -17,7 +18,7 @@
 const nodeFields = `{"nodeName":"side-a-1","role":"node","ip":"10.1.0.26","zone":"zone-a","region":"region-a",
 "listen":{"inbound":"10.1.0.26:8543","outbound":"10.1.0.26:8548","ready":"10.1.0.26:8546","controlPlane":"10.1.0.26:8540"},
 "internalPorts":[7000,7015],"seeds":["10.1.0.30:8540","10.2.0.27:8540"],"firstStart":true,"limits":{"memoryMb":284},
-"dataDir":null,"heartbeatS":1.5,"faultTolerance":{"machines":1},"appAddr":"10.1.0.26:8547","service":"orders",
+"dataDir":null,"heartbeatS":1.5,"contracts":["base","health"],"faultTolerance":{"machines":1},"appAddr":"10.1.0.26:8547","service":"orders",
 "bounds":{"drainS":2,"graceS":6,"configApplyS":2,"revokeS":5,"retryBudgetRatio":0.2,"budgetWindowS":10,"retryBudgetSlack":49}}`
 
 const controlFields = `{"nodeName":"core-a-1","role":"control","ip":"10.1.0.30","zone":"zone-a","region":"region-a",
@@ -94,7 +95,7 @@
 		t.Fatal(err)
 	}
 	if n := node.GetNode(); node.GetControl() != nil || n.GetFace() != schema.Face_FACE_PLATFORM || n.GetService() != "orders" ||
-		n.GetCallerAddress() != "10.1.0.26:8548" || len(n.GetControlAddresses()) != 2 || node.GetTerms().GetRetrySlack() != 49 {
+		!slices.Equal(n.GetPlatformRules(), []string{"base", "health"}) || n.GetCallerAddress() != "10.1.0.26:8548" || len(n.GetControlAddresses()) != 2 || node.GetTerms().GetRetrySlack() != 49 {
 		t.Errorf("node settings %v", node)
 	}
 	if terms := node.GetTerms(); terms.GetColdExcess() != 1 || terms.GetColdSlack() != 0 || terms.GetEvacuateLimit() != nil {
--- a/internal/runner/face.go
+++ b/internal/runner/face.go
@@ -34,6 +34,8 @@
 	// readHealth decodes the response to a health check of the local upstream. It is nil if the protocol has no health
 	// checks.
 	readHealth func(*http.Response) (prober.Health, bool)
+	// expectsFaultyUpstreams tells from the platform's rules in force whether decisions adapt to the upstreams' responses.
+	expectsFaultyUpstreams func(rules []string) bool
 }
 
 func newFace(cfg *schema.NodeSettings) face {
@@ -50,6 +52,8 @@
 		forwarderOptions: func() []forwarder.Option { return nil },
 		listen:           func(*Node) error { return nil },
 		callerHandler:    func(n *Node) http.Handler { return http.HandlerFunc(n.serveCaller) },
+
+		expectsFaultyUpstreams: func([]string) bool { return false },
 	}
 }
 
@@ -72,6 +76,8 @@
 		listen:        listenPlatform,
 		callerHandler: func(n *Node) http.Handler { return platform.NewIngress(n.forwarder) },
 		readHealth:    platform.ReadHealth,
+
+		expectsFaultyUpstreams: platform.ExpectsFaultyUpstreams,
 	}
 }
 
--- a/internal/runner/node.go
+++ b/internal/runner/node.go
@@ -149,6 +149,10 @@
 		mode = admitter.AdaptiveOn
 	case schema.AdaptiveControl_ADAPTIVE_CONTROL_OFF:
 		mode = admitter.AdaptiveOff
+	default:
+		if n.face.expectsFaultyUpstreams(n.cfg.GetPlatformRules()) {
+			mode = admitter.AdaptiveOn
+		}
 	}
 	shared := func() bool { return n.syncer.HasSharedHosts() }
 	return append([]admitter.Option{admitter.WithAdaptiveMode(mode), admitter.WithSharedHosts(shared)}, baseline.Gate...)
