Keep the admitted share near what a congested service sustained before

Cause: the sustainable share came from the successes of the last second.

Change: the highest rate of successes counts, forgotten over 3 s. Refused requests come back after half of the time that the congestion has lasted, at most 2 s, where their own target allows less.

The model of TestOverloadOfBottomService is unchanged.

Test: TestRefusedRequestsReturnTooSoon.

--- a/internal/retrier/congested_service.go
+++ b/internal/retrier/congested_service.go
@@ -35,6 +35,9 @@
 	endTime  = time.Second
 	// sustainableDecay is the time constant of the counts by which the sustainable share is estimated.
 	sustainableDecay = time.Second
+	// peakDecay is the time constant with which the highest rate of successes is forgotten. An overloaded service completes far
+	// fewer trees of calls than it can sustain, so that the present rate alone would keep the share low.
+	peakDecay = 3 * time.Second
 	// maxIdleIntervals bounds the steps that are made up for in one call after a time without requests.
 	maxIdleIntervals = 16
 	// quietTime is the time without an affected response after which a service with a share of 1 counts as free.
@@ -60,15 +63,15 @@
 	reported   Congestion
 	affectedAt time.Time
 	// arrived and succeeded are the decayed numbers of dependent requests that arrived at the node, and that succeeded.
-	// demand and capacity are the two when the share was last lowered: while a service is full, requests succeed at the rate
-	// that it can sustain.
+	// demand is the former when the share was last lowered, and capacity the highest recent value of the latter.
 	arrived, succeeded float64
 	decayedAt          time.Time
 	demand, capacity   float64
 	// limited is set from the first time that the share is lowered until the service is free again.
-	limited bool
-	routes  [maxDependentRoutes]dependentRoute
-	ranks   recentRanks
+	limited   bool
+	limitedAt time.Time
+	routes    [maxDependentRoutes]dependentRoute
+	ranks     recentRanks
 }
 
 func newCongestedService(name string, now time.Time) *congestedService {
@@ -130,6 +133,7 @@
 	s.decay(now)
 	if !r.Failed {
 		s.succeeded++
+		s.capacity = max(s.capacity, s.succeeded)
 	}
 	hasSettled := value >= highCongestion && now.Sub(s.loweredAt) >= settleTime
 	if hasSettled || !r.Start.Before(s.loweredAt) {
@@ -166,7 +170,7 @@
 
 // lower lowers the share for the affected ones among the counted responses.
 func (s *congestedService) lower(c responseCount) {
-	s.capacity, s.demand = s.succeeded, s.arrived
+	s.demand = s.arrived
 	floor := max(minDownstreamShare, drainShare*s.sustainable())
 	s.share = min(s.share, max(floor, s.base*(1-c.decrease())))
 }
@@ -195,6 +199,7 @@
 		f := math.Exp(-dt.Seconds() / sustainableDecay.Seconds())
 		s.arrived *= f
 		s.succeeded *= f
+		s.capacity = max(s.succeeded, s.capacity*math.Exp(-dt.Seconds()/peakDecay.Seconds()))
 		s.decayedAt = now
 	}
 }
@@ -214,6 +219,14 @@
 	return s.ranks.position(rank, draw) >= refused*float64(s.ranks.count())
 }
 
+// lasted returns how long dependent requests have been refused.
+func (s *congestedService) lasted(now time.Time) time.Duration {
+	if !s.limited {
+		return 0
+	}
+	return now.Sub(s.limitedAt)
+}
+
 // isQuiet reports whether all dependent requests have been admitted without harm for some time.
 func (s *congestedService) isQuiet(now time.Time) bool {
 	return s.share >= 1 && now.Sub(s.affectedAt) >= quietTime
--- a/internal/retrier/downstream_limiter.go
+++ b/internal/retrier/downstream_limiter.go
@@ -14,6 +14,10 @@
 	// returnShare is the largest part of a route's latency objective after which a refused request should come back at the
 	// earliest. Jitter doubles it at most, so that the rest is enough for a request that takes a third of its objective.
 	returnShare = 0.35
+	// A congestion that has lasted is expected to last on for about as long: refused requests should come back after lastedShare of
+	// that time, up to maxReturn. Those that come back while nothing has changed are refused again.
+	lastedShare = 0.5
+	maxReturn   = 2 * time.Second
 )
 
 // DownstreamLimiter refuses requests at their entry node while a service to which their calls lead has no capacity for
@@ -112,16 +116,17 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.update(now)
-	admitted, lowest, kept := true, 1.0, l.draw()
+	admitted, lowest, lasted, kept := true, 1.0, time.Duration(0), l.draw()
 	for _, s := range l.services {
 		if s.isDependent(route, now) && !s.admits(rank, kept, l.draw(), now) {
-			admitted, lowest = false, min(lowest, s.share)
+			admitted, lowest, lasted = false, min(lowest, s.share), max(lasted, s.lasted(now))
 		}
 	}
 	if admitted {
 		return true, 0
 	}
-	return false, time.Duration(float64(objective) * returnShare * (1 - lowest))
+	after := time.Duration(float64(objective) * returnShare * (1 - lowest))
+	return false, max(after, min(maxReturn, time.Duration(float64(lasted)*lastedShare)))
 }
 
 // update changes the shares whose interval has ended, and forgets services that are free again.
@@ -132,7 +137,7 @@
 		}
 		l.onShare(s.name, s.share)
 		if congested := s.share < 1; congested != s.limited && (congested || s.isQuiet(now)) {
-			s.limited = congested
+			s.limited, s.limitedAt = congested, now
 			l.onChange(s.name, s.share, congested)
 		}
 	}
--- a/internal/retrier/downstream_limiter_test.go
+++ b/internal/retrier/downstream_limiter_test.go
@@ -124,3 +124,37 @@
 		t.Errorf("congestion %+v outlives its cause", c)
 	}
 }
+
+// While a congestion lasts, callers that come back soon are refused again and load the entry nodes for nothing.
+func TestRefusedRequestsReturnTooSoon(t *testing.T) {
+	l, route, now := NewDownstreamLimiter(), RouteName{"a", "b"}, time.Unix(1000, 0)
+	l.draw = func() float64 { return 0.3 }
+	refuse := func() time.Duration {
+		for range 20 {
+			l.Observe(affectedResponse(route, now), now)
+			now = now.Add(shareInterval / 10)
+		}
+		for range 200 {
+			if ok, after := l.Admit(route, 1, time.Second, now); !ok {
+				return after
+			}
+		}
+		t.Fatal("no request was refused")
+		return 0
+	}
+	if first := refuse(); first.Seconds() > returnShare {
+		t.Errorf("at the beginning a request should come back after %v", first)
+	}
+	for range 6 {
+		refuse()
+	}
+	if later := refuse(); later < time.Second {
+		t.Errorf("after three seconds a request should come back after %v already", later)
+	}
+	for range 20 {
+		refuse()
+	}
+	if last := refuse(); last != maxReturn {
+		t.Errorf("a request should come back after %v, want %v", last, maxReturn)
+	}
+}
