--- a/internal/forwarder/downstream.go
+++ b/internal/forwarder/downstream.go
@@ -56,7 +56,7 @@
 	objective := c.route.ObjectiveLatency
 	affected := f.downstream.Observe(retrier.DownstreamResponse{
 		Route: c.routeName(), Congestion: c.congestion, Failed: failed, Lost: ref != nil && !c.hasReport,
-		Slow: objective > 0 && now.Sub(c.dispatchedAt) > objective/2, Start: c.dispatchedAt,
+		Slow: objective > 0 && now.Sub(c.dispatchedAt).Seconds() > retrier.SlowShare*objective.Seconds(), Start: c.dispatchedAt,
 	}, now)
 	return failed && affected
 }
--- a/internal/retrier/downstream_limiter.go
+++ b/internal/retrier/downstream_limiter.go
@@ -11,6 +11,8 @@
 const (
 	// maxCongestedServices is the number of congested services that an entry node keeps.
 	maxCongestedServices = 8
+	// SlowShare is the part of its latency objective from which a request counts as slow. Half is the usual time of some routes.
+	SlowShare = 0.85
 	// returnShare is the largest part of a route's latency objective after which a refused request should come back at the
 	// earliest. Jitter doubles it at most, so that the rest is enough for a request that takes a third of its objective.
 	returnShare = 0.35
@@ -63,7 +65,7 @@
 	Route RouteName
 	// Congestion is the one that the response reported.
 	Congestion Congestion
-	// Failed reports whether the request failed, and Slow whether it took over half of its latency objective.
+	// Failed reports whether the request failed, and Slow whether it took over SlowShare of its latency objective.
 	Failed bool
 	Slow   bool
 	// Lost reports whether the request failed without a response that could have reported congestion.
