--- a/deploy_test.go
+++ b/deploy_test.go
@@ -95,7 +95,8 @@
 		t.Fatal(err)
 	}
 	if n := node.GetNode(); node.GetControl() != nil || n.GetFace() != schema.Face_FACE_PLATFORM || n.GetService() != "orders" ||
-		!slices.Equal(n.GetPlatformRules(), []string{"base", "health"}) || n.GetCallerAddress() != "10.1.0.26:8548" || len(n.GetControlAddresses()) != 2 || node.GetTerms().GetRetrySlack() != 49 {
+		!slices.Equal(n.GetPlatformRules(), []string{"base", "health"}) || n.GetCallerAddress() != "10.1.0.26:8548" ||
+		len(n.GetControlAddresses()) != 2 || node.GetTerms().GetRetrySlack() != 49 {
 		t.Errorf("node settings %v", node)
 	}
 	if terms := node.GetTerms(); terms.GetColdExcess() != 1 || terms.GetColdSlack() != 0 || terms.GetEvacuateLimit() != nil {
--- a/internal/retrier/downstream_model_test.go
+++ b/internal/retrier/downstream_model_test.go
@@ -168,7 +168,8 @@
 	took := now.Sub(start)
 	if wasRun {
 		entry.Observe(DownstreamResponse{
-			Route: route, Congestion: node.report(k.service.name, now), Failed: !ok, Slow: took.Seconds() > SlowShare*modelTarget.Seconds(), Start: start,
+			Route: route, Congestion: node.report(k.service.name, now), Failed: !ok,
+			Slow: took.Seconds() > SlowShare*modelTarget.Seconds(), Start: start,
 		}, now)
 	}
 	result(func(r *modelResult) {
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -266,7 +266,7 @@
 			continue
 		}
 		untried = append(untried, t)
-		if !t.isEjected(now) && !(avoidSuspended && t.IsSuspended(now)) {
+		if !t.isEjected(now) && (!avoidSuspended || !t.IsSuspended(now)) {
 			healthy = append(healthy, t)
 		}
 	}
