Judge each connection to a peer on its own

Cause: when the newest connection to a peer was silent, the requests on earlier ones ended too, also on one that still delivered data. A stopping peer refuses new connections while it completes the requests on its open ones. A request that began while its connection was replaced could count as none and be cut.

Test: TestSilentConnectionEndsRequestsOfAnother fails on the code before ("peer is silent").

--- a/internal/dialer/late_connection_test.go
+++ b/internal/dialer/late_connection_test.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"net/netip"
 	"sync"
+	"syscall"
 	"testing"
 	"time"
 
@@ -18,8 +19,9 @@
 
 // stallingDialer opens connections whose received data can be held back.
 type stallingDialer struct {
-	mu    sync.Mutex
-	conns []*stallingConn
+	mu      sync.Mutex
+	conns   []*stallingConn
+	refuses bool
 }
 
 // stallingConn holds back received data until a time.
@@ -30,6 +32,12 @@
 }
 
 func (d *stallingDialer) dial(ctx context.Context, network, address string) (net.Conn, error) {
+	d.mu.Lock()
+	refuses := d.refuses
+	d.mu.Unlock()
+	if refuses {
+		return nil, syscall.ECONNREFUSED
+	}
 	raw, err := (&net.Dialer{}).DialContext(ctx, network, address)
 	if err != nil {
 		return nil, err
@@ -133,6 +141,45 @@
 	}
 }
 
+// A stopping peer refuses new connections while it completes the requests on its open ones. A silent connection beside them must
+// not end these requests.
+func TestSilentConnectionEndsRequestsOfAnother(t *testing.T) {
+	p, d := stallingPeer(t, 3500*time.Millisecond)
+	result := make(chan error, 1)
+	group := &tomb.Tomb{}
+	group.Go(func() error {
+		resp, err := roundTrip(t, p, p)
+		if err == nil {
+			_ = resp.Body.Close()
+		}
+		result <- err
+		return nil
+	})
+	time.Sleep(20 * time.Millisecond)
+	d.stall(900 * time.Millisecond)
+	for {
+		d.mu.Lock()
+		replaced := len(d.conns) == 2
+		d.mu.Unlock()
+		if replaced {
+			break
+		}
+		time.Sleep(time.Millisecond)
+	}
+	// The second connection has answered a ping and becomes silent.
+	time.Sleep(50 * time.Millisecond)
+	d.mu.Lock()
+	d.refuses = true
+	d.conns[1].mu.Lock()
+	d.conns[1].until = time.Now().Add(20 * time.Second)
+	d.conns[1].mu.Unlock()
+	d.mu.Unlock()
+	if err := <-result; err != nil {
+		t.Errorf("a request that the peer completes failed: %v", err)
+	}
+	_ = group.Wait()
+}
+
 // A connection can become silent for good, without a reset. Its requests must end although nothing reports an error.
 func TestSilentConnectionHoldsRequests(t *testing.T) {
 	p, d := stallingPeer(t, 100*time.Millisecond)
--- a/internal/dialer/peer.go
+++ b/internal/dialer/peer.go
@@ -79,13 +79,25 @@
 	return resp, nil
 }
 
+// acquire returns the current connection, with one open request more. A connection that is replaced at the same time is not
+// returned, since it may already count as one without requests.
+func (p *Peer) acquire() *connection {
+	for {
+		conn := p.current.Load()
+		if conn.requests.Add(1) == 1 {
+			// A ping that failed while no request was open says nothing about the time since.
+			conn.pingedAt.Store(0)
+		}
+		if p.current.Load() == conn {
+			return conn
+		}
+		conn.requests.Add(-1)
+	}
+}
+
 // roundTrip sends one request on the current connection.
 func (p *Peer) roundTrip(req *http.Request) (*http.Response, error) {
-	conn := p.current.Load()
-	if conn.requests.Add(1) == 1 {
-		// A ping that failed while no request was open says nothing about the time since.
-		conn.pingedAt.Store(0)
-	}
+	conn := p.acquire()
 	ctx, cancel := context.WithCancel(req.Context())
 	stop := context.AfterFunc(conn.ctx, cancel)
 	release := func() {
@@ -137,7 +149,10 @@
 	current := p.current.Load()
 	cause := ErrReplaced
 	if current.isSilent() {
-		p.Reset()
+		// Earlier connections are judged on their own: a stopping peer completes requests there while it refuses new connections.
+		if p.current.CompareAndSwap(current, p.pool.newConnection()) {
+			current.fail(ErrUnresponsive)
+		}
 		cause = ErrUnresponsive
 	}
 	p.mu.Lock()
