Let a congestion end although responses are lost

Cause: a response without a report counted as affected for a second after the last affected one, and then was one itself: one lost response a second kept a service congested for good. Requests that were never sent counted as lost, too. The time that a congestion lasts included times at which nothing was refused.

Test: TestLostResponsesKeepServiceCongested fails on the code before.

--- a/internal/forwarder/downstream.go
+++ b/internal/forwarder/downstream.go
@@ -46,7 +46,7 @@
 // observeDownstream passes the result of a root call to the limiter. It reports whether a failure is due to the congestion of
 // a service. Such a failure does not count as one of the called service.
 func (f *Forwarder) observeDownstream(c *call, resp *response, ref *refuser.Refusal, now time.Time) bool {
-	if ref != nil && (!ref.MayHaveRun() || ref.Outcome == refuser.AlreadyRun || ref.Reason == refuser.CallerLeft) {
+	if ref != nil && (!ref.MayHaveRun() || !c.mayHaveRun || ref.Outcome == refuser.AlreadyRun || ref.Reason == refuser.CallerLeft) {
 		return false
 	}
 	failed := ref != nil || isServerFailure(resp.status)
--- a/internal/retrier/congested_service.go
+++ b/internal/retrier/congested_service.go
@@ -118,7 +118,7 @@
 		s.reported = r.Congestion
 	}
 	affected := value > 0 && (r.Failed || r.Slow)
-	if r.Lost && now.Sub(s.affectedAt) < congestionLifetime {
+	if r.Lost && now.Sub(s.reported.At) < congestionLifetime {
 		affected = s.isDependent(r.Route, now)
 	}
 	if affected {
--- a/internal/retrier/downstream_limiter.go
+++ b/internal/retrier/downstream_limiter.go
@@ -138,6 +138,10 @@
 			continue
 		}
 		l.onShare(s.name, s.share)
+		if s.share >= 1 {
+			// Nothing is refused, so a later refusal is the first one.
+			s.limitedAt = now
+		}
 		if congested := s.share < 1; congested != s.limited && (congested || s.isQuiet(now)) {
 			s.limited, s.limitedAt = congested, now
 			l.onChange(s.name, s.share, congested)
--- a/internal/retrier/downstream_limiter_test.go
+++ b/internal/retrier/downstream_limiter_test.go
@@ -158,3 +158,19 @@
 		t.Errorf("a request should come back after %v, want %v", last, maxReturn)
 	}
 }
+
+// Responses that are lost on the way, as to a host that is cut off, must not keep a service congested that reports no congestion.
+func TestLostResponsesKeepServiceCongested(t *testing.T) {
+	l, route, now := NewDownstreamLimiter(), RouteName{"a", "b"}, time.Unix(1000, 0)
+	for range 20 {
+		l.Observe(affectedResponse(route, now), now)
+		now = now.Add(shareInterval / 10)
+	}
+	for range 50 {
+		l.Observe(DownstreamResponse{Route: route, Failed: true, Lost: true, Start: now}, now)
+		now = now.Add(congestionLifetime / 10)
+	}
+	if s := l.services[0]; now.Sub(s.affectedAt) < congestionLifetime {
+		t.Errorf("lost responses count as affected %v after the last report", now.Sub(s.reported.At))
+	}
+}
