Keep suspensions and cold upstreams from counting as other refusals

Cause: a suspended upstream used up the only reroute after a refusal for lack of capacity, and waits at a cold upstream counted as congestion of its service. A tiny cold rate overflowed the delay of the next token. Found in the review; no test of their own.

--- a/internal/admitter/cold.go
+++ b/internal/admitter/cold.go
@@ -126,7 +126,7 @@
 	rate, _ := c.limit().pace()
 	missing := float64(ahead+1) - c.tokens
 	// Rounded up, since a token that is short of one by a rounding error would need another delay.
-	wait := time.Duration(max(0, missing)/rate*float64(time.Second)) + time.Microsecond
+	wait := time.Duration(min(MaxCold.Seconds(), max(0, missing)/rate)*float64(time.Second)) + time.Microsecond
 	return min(wait, max(0, c.until.Sub(now)))
 }
 
--- a/internal/admitter/gate.go
+++ b/internal/admitter/gate.go
@@ -164,7 +164,7 @@
 		return Ticket{}, d
 	}
 	if g.unlimited || (g.queue.Len() == 0 && g.inflight < g.limit.current() && g.cold.take(now)) {
-		g.congestion.record(false, now)
+		g.recordCongestion(false, now)
 		g.start()
 		g.mu.Unlock()
 		return Ticket{gate: g}, Admitted
@@ -197,18 +197,32 @@
 	case req.Deadline.Sub(now) < g.mean/2:
 		return DeadlineExceeded
 	case !g.fifo && req.Rank < g.level.current(now):
-		g.congestion.record(true, now)
+		g.recordCongestion(true, now)
 		g.level.recordShed(req.Rank, now)
 		return Shed
 	case g.queue.Len() >= g.limit.slots*maxQueuedPerSlot:
 		g.queueShed = true
-		g.congestion.record(true, now)
+		g.recordCongestion(true, now)
 		g.level.recordShed(req.Rank, now)
 		return Shed
 	}
 	return Admitted
 }
 
+// recordCongestion counts a call for the congestion of the gate. A cold upstream is not full, and others may be warm.
+func (g *Gate) recordCongestion(congested bool, now time.Time) {
+	if !g.cold.isCold(now) {
+		g.congestion.record(congested, now)
+	}
+}
+
+// recordWait counts a call whose wait for a slot ended.
+func (g *Gate) recordWait(w *waiter, now time.Time) {
+	if !g.cold.isCold(now) {
+		g.congestion.recordWait(w, now)
+	}
+}
+
 func (g *Gate) start() {
 	g.inflight++
 	g.assert.Check(asserter.WithinSlots, g.unlimited || g.inflight <= g.limit.slots, "")
@@ -268,7 +282,7 @@
 	heap.Remove(&g.queue, w.index)
 	now := g.timer.Now()
 	if d == Canceled {
-		g.congestion.recordWait(w, now)
+		g.recordWait(w, now)
 	}
 	if d == Shed {
 		if g.cold.isCold(now) {
@@ -276,7 +290,7 @@
 			d = Cold
 		} else {
 			g.queueShed = true
-			g.congestion.record(true, now)
+			g.recordCongestion(true, now)
 			g.level.recordShed(w.req.Rank, now)
 		}
 		if !now.Before(w.lastStart) {
@@ -329,18 +343,18 @@
 	for g.queue.Len() > 0 && g.inflight < g.limit.current() && g.cold.hasRoom(now) {
 		w := heap.Pop(&g.queue).(*waiter)
 		if now.After(g.lastStart(w.req)) {
-			g.congestion.record(true, now)
+			g.recordCongestion(true, now)
 			w.decision <- DeadlineExceeded
 			continue
 		}
 		if !g.fifo && w.req.Rank < g.level.shedFloor(now) {
-			g.congestion.record(true, now)
+			g.recordCongestion(true, now)
 			g.level.recordShed(w.req.Rank, now)
 			w.decision <- Shed
 			continue
 		}
 		g.checkOrder(w)
-		g.congestion.recordWait(w, now)
+		g.recordWait(w, now)
 		g.cold.take(now)
 		g.start()
 		w.decision <- Admitted
--- a/internal/forwarder/dispatch.go
+++ b/internal/forwarder/dispatch.go
@@ -19,6 +19,8 @@
 	tried    []*router.Target
 	retries  uint32
 	reroutes int
+	// suspensions is the number of refusals for a suspension.
+	suspensions int
 	// ignoreSuspension is set when the call is tried even at a suspended upstream.
 	ignoreSuspension bool
 }
--- a/internal/forwarder/suspension.go
+++ b/internal/forwarder/suspension.go
@@ -79,7 +79,7 @@
 	if c.ignoreSuspension {
 		return false
 	}
-	s.reroutes++
-	s.ignoreSuspension = s.ignoreSuspension || s.reroutes >= maxReroutes
+	s.suspensions++
+	s.ignoreSuspension = s.ignoreSuspension || s.suspensions+s.reroutes >= maxReroutes
 	return true
 }
