Charge held responses until they are written, and drop stalled branches

Ruled out as too large for now: a limit of its own for the calls of the local upstream, and the platform's format for refusals on HTTP/2.

--- a/internal/budgeter/budget.go
+++ b/internal/budgeter/budget.go
@@ -69,7 +69,7 @@
 	return false
 }
 
-// Return gives back bytes that TryTake charged.
+// Return gives back bytes that TryTake or Take charged.
 func (b *Budget) Return(n int64) {
 	if b != nil {
 		b.used.Add(-n)
@@ -90,8 +90,8 @@
 	return h
 }
 
-// take charges bytes. While they are over the limit it drops holdings; if there is none to drop it refuses the bytes.
-func (b *Budget) take(n int64) bool {
+// Take charges bytes. While they are over the limit it drops holdings; if there is none to drop it refuses the bytes.
+func (b *Budget) Take(n int64) bool {
 	for !b.TryTake(n) {
 		if !b.dropSlowest() {
 			b.refused.Add(1)
@@ -115,13 +115,16 @@
 			b.noneUntil.Store(int64(now + searchInterval))
 			return false
 		}
-		delete(b.holdings, h)
-		if h.drop() {
-			h.isDropped.Store(true)
-			h.free()
-			b.dropped.Add(1)
-			return true
+		if !h.drop() {
+			// Its owner can't give up at present, and may later.
+			h.progressAt.Store(int64(now))
+			continue
 		}
+		delete(b.holdings, h)
+		h.isDropped.Store(true)
+		h.free()
+		b.dropped.Add(1)
+		return true
 	}
 }
 
--- a/internal/budgeter/holding.go
+++ b/internal/budgeter/holding.go
@@ -19,7 +19,7 @@
 	if h == nil {
 		return true
 	}
-	if h.isDropped.Load() || !h.budget.take(n) {
+	if h.isDropped.Load() || !h.budget.Take(n) {
 		return false
 	}
 	h.add(n)
@@ -31,7 +31,7 @@
 	if h == nil {
 		return
 	}
-	if !h.budget.take(n) {
+	if !h.budget.Take(n) {
 		h.budget.used.Add(n)
 	}
 	h.add(n)
--- a/internal/forwarder/response.go
+++ b/internal/forwarder/response.go
@@ -186,7 +186,7 @@
 		resp.status != http.StatusNotModified {
 		h.Set("Content-Length", strconv.Itoa(len(resp.buffered)))
 	}
-	holding := f.holdResponse(w, resp)
+	holding := f.holdResponse(w, r, resp)
 	defer holding.Close()
 	w.WriteHeader(resp.status)
 	if _, err := w.Write(resp.buffered); err != nil && !errors.Is(err, http.ErrBodyNotAllowed) {
--- a/internal/pipeliner/branch.go
+++ b/internal/pipeliner/branch.go
@@ -103,13 +103,16 @@
 	return nil
 }
 
-// SetWriteDeadline implements net.Conn. The caller's connection has its own. A deadline that has passed would cut the other requests
-// of that connection.
+// SetWriteDeadline implements net.Conn. The caller's connection has its own. A deadline that has passed ends that connection, which
+// only the request that has the turn may do: the others wait for it.
 func (b *branch) SetWriteDeadline(t time.Time) error {
-	if !t.IsZero() && !t.After(b.timer.Now()) {
+	if t.IsZero() || t.After(b.timer.Now()) {
+		return nil
+	}
+	if !b.hasTurn(b.order) {
 		return errShared
 	}
-	return nil
+	return b.raw.SetWriteDeadline(t)
 }
 
 var errShared = errors.New("the connection is shared with other requests")
--- a/internal/pipeliner/conn.go
+++ b/internal/pipeliner/conn.go
@@ -310,3 +310,11 @@
 	timeout, ok := err.(net.Error)
 	return ok && timeout.Timeout()
 }
+
+// SetWriteDeadline implements net.Conn. A deadline that has passed would cut the response that has the turn, if it is not this one's.
+func (c *conn) SetWriteDeadline(t time.Time) error {
+	if !t.IsZero() && !t.After(c.listener.timer.Now()) && c.serving.Load() && !c.hasTurn(c.order.Load()) {
+		return errShared
+	}
+	return c.Conn.SetWriteDeadline(t)
+}
--- a/internal/pipeliner/crowd.go
+++ b/internal/pipeliner/crowd.go
@@ -47,12 +47,17 @@
 	defer w.mu.Unlock()
 	for int64(len(w.conns)) >= w.max {
 		oldest := w.longestWaiting()
-		w.closed.Add(1)
 		if oldest == nil {
+			w.closed.Add(1)
 			return false
 		}
+		if !oldest.dropWaiting() {
+			// Its caller has just sent something.
+			oldest.wait.progressAt.Store(w.now())
+			continue
+		}
+		w.closed.Add(1)
 		delete(w.conns, oldest)
-		oldest.dropWaiting()
 	}
 	w.conns[c] = struct{}{}
 	return true
--- a/internal/pipeliner/pipe.go
+++ b/internal/pipeliner/pipe.go
@@ -194,9 +194,6 @@
 		}
 		data := h.data
 		h.data = nil
-		p.heldSize -= len(data)
-		p.totalHeld.Add(-int64(len(data)))
-		p.budget.Return(int64(len(data)))
 		p.flushing = true
 		p.mu.Unlock()
 		_, err := p.raw.Write(data)
@@ -205,6 +202,10 @@
 		if p.closed {
 			return
 		}
+		// Until here the bytes are held, since a caller that does not read holds up the write.
+		p.heldSize -= len(data)
+		p.totalHeld.Add(-int64(len(data)))
+		p.budget.Return(int64(len(data)))
 		if err != nil {
 			p.close()
 			return
--- a/internal/runner/caller_memory.go
+++ b/internal/runner/caller_memory.go
@@ -101,7 +101,7 @@
 				size += int64(len(name) + len(v))
 			}
 		}
-		if !b.TryTake(size) {
+		if !b.Take(size) {
 			refuser.NewRetryable(refuser.NotRun, refuser.OutOfMemory, "the node has no memory for the request", time.Second).Write(w)
 			return
 		}
