--- a/internal/dialer/late_connection_test.go
+++ b/internal/dialer/late_connection_test.go
@@ -99,14 +99,9 @@
 	return pool.Peer(srv.Addr()), d
 }
 
-// send sends a request while the connection's data is held back, and returns the error and the peer's number of connections.
-func sendStalled(t *testing.T, p *Peer, d *stallingDialer, stall time.Duration) (int, error) {
+// startRequest sends a request and returns once it is on its way. The channel receives its error.
+func startRequest(t *testing.T, p *Peer) <-chan error {
 	t.Helper()
-	if resp, err := roundTrip(t, p, p); err == nil {
-		_ = resp.Body.Close()
-	} else {
-		t.Fatal(err)
-	}
 	result := make(chan error, 1)
 	group := &tomb.Tomb{}
 	group.Go(func() error {
@@ -117,12 +112,24 @@
 		result <- err
 		return nil
 	})
+	t.Cleanup(func() { _ = group.Wait() })
 	time.Sleep(20 * time.Millisecond)
+	return result
+}
+
+// sendStalled sends a request while the connection's data is held back, and returns the error and the peer's number of connections.
+func sendStalled(t *testing.T, p *Peer, d *stallingDialer, stall time.Duration) (int, error) {
+	t.Helper()
+	if resp, err := roundTrip(t, p, p); err == nil {
+		_ = resp.Body.Close()
+	} else {
+		t.Fatal(err)
+	}
+	result := startRequest(t, p)
 	if d.stall(stall) != 1 {
 		t.Fatal("the first requests did not share one connection")
 	}
 	err := <-result
-	_ = group.Wait()
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	return len(d.conns), err
@@ -145,17 +152,7 @@
 // not end these requests.
 func TestSilentConnectionEndsRequestsOfAnother(t *testing.T) {
 	p, d := stallingPeer(t, 3500*time.Millisecond)
-	result := make(chan error, 1)
-	group := &tomb.Tomb{}
-	group.Go(func() error {
-		resp, err := roundTrip(t, p, p)
-		if err == nil {
-			_ = resp.Body.Close()
-		}
-		result <- err
-		return nil
-	})
-	time.Sleep(20 * time.Millisecond)
+	result := startRequest(t, p)
 	d.stall(900 * time.Millisecond)
 	for {
 		d.mu.Lock()
@@ -177,7 +174,6 @@
 	if err := <-result; err != nil {
 		t.Errorf("a request that the peer completes failed: %v", err)
 	}
-	_ = group.Wait()
 }
 
 // A connection can become silent for good, without a reset. Its requests must end although nothing reports an error.
