Review case 10: a worker that had left is in use after its node's restart

A worker deregistered, its node acknowledged that and was killed 0.2 s later; the worker's health check falsely answered 200.

Cases 6 and 10 run with the contracts of the grown deployments.

--- a/review/standin-2/fleet.go
+++ b/review/standin-2/fleet.go
@@ -22,6 +22,12 @@
 	portCount = 30
 )
 
+// The contracts of the small and of the grown deployments.
+var (
+	smallContracts = []string{"base", "drain", "config", "cost", "retry", "recover", "pressure", "tenants", "quota"}
+	grownContracts = []string{"base", "drain", "config", "cost", "retry", "recover", "health", "pool", "pressure", "tenants", "quota"}
+)
+
 // process is a started process of the system.
 type process struct {
 	cmd   *exec.Cmd
@@ -36,6 +42,8 @@
 	root, dir string
 	network   int
 	port      int
+	// contracts names the parts of the rules that are in force.
+	contracts []string
 	control   []*machine
 	nodes     []*machine
 	record    *record
@@ -63,7 +71,7 @@
 	if err != nil {
 		return nil, err
 	}
-	f := &fleet{root: root, dir: dir, record: rec, network: 1 + rand.IntN(250), ends: map[string]int{}}
+	f := &fleet{root: root, dir: dir, record: rec, network: 1 + rand.IntN(250), ends: map[string]int{}, contracts: smallContracts}
 	ip := func(n int) string { return fmt.Sprintf("127.%d.0.%d", f.network, n) }
 	for i := range 4 {
 		name := fmt.Sprintf("core-%d", i+1)
--- a/review/standin-2/main.go
+++ b/review/standin-2/main.go
@@ -17,7 +17,7 @@
 
 // cases holds the function of each case. It gets whether the disruption takes place.
 var cases = map[string]func(root string, rec *record, trouble bool) int{
-	"quota": quotaCase, "firstStart": firstStartCase, "drain": drainCase, "pipeline": pipelineCase,
+	"quota": quotaCase, "firstStart": firstStartCase, "drain": drainCase, "return": returnCase, "pipeline": pipelineCase,
 }
 
 func main() {
--- a/review/standin-2/pipeline.go
+++ b/review/standin-2/pipeline.go
@@ -23,6 +23,7 @@
 		return cannotRun
 	}
 	defer f.close()
+	f.contracts = grownContracts
 	if err := f.startAll(); err != nil {
 		rec.line("%v", err)
 		return cannotRun
--- a/review/standin-2/settings.go
+++ b/review/standin-2/settings.go
@@ -77,7 +77,7 @@
 		"nodeName": m.name, "role": m.role, "ip": m.ip, "zone": m.zone, "region": "region-a", "firstStart": !m.started,
 		"limits":        map[string]any{"memoryMb": 284},
 		"internalPorts": []int{f.port + 10, f.port + 25}, "seeds": f.seeds(), "heartbeatS": 1.5,
-		"contracts":      []string{"base", "drain", "config", "cost", "retry", "recover", "pressure", "tenants", "quota"},
+		"contracts":      f.contracts,
 		"faultTolerance": map[string]any{"machines": 1, "zones": 0, "regions": 0},
 		"bounds": map[string]any{
 			"drainS": 2, "graceS": 6, "configApplyS": 2, "revokeS": 5, "retryBudgetRatio": 0.2, "budgetWindowS": 10, "retryBudgetSlack": 49,
