--- a/review/standin-2/pipeline.go
+++ b/review/standin-2/pipeline.go
@@ -62,9 +62,9 @@
 	lost := make(chan int, clients)
 	for range clients {
 		ids := []string{newRequestID(), newRequestID()}
-		go func() { lost <- f.sendPair(f.nodes[0], key, ids, []int{4000, 4300}) }()
+		go func() { lost <- f.sendPair(f.nodes[0], key, ids, []int{3400, 3700}) }()
 	}
-	time.Sleep(500 * time.Millisecond)
+	time.Sleep(100 * time.Millisecond)
 	if trouble {
 		f.end(f.nodes[0], syscall.SIGTERM)
 		rec.line("the process of %s has ended", f.nodes[0].name)
