--- a/review/standin-2/client.go
+++ b/review/standin-2/client.go
@@ -61,3 +61,15 @@
 	data, err := io.ReadAll(resp.Body)
 	return answer{status: resp.StatusCode, stamp: resp.Header.Get(wire["stamp"]), body: string(data), err: err, took: time.Since(start)}
 }
+
+// clientsPerNode is the number of clients at each node in the cases of leaving workers.
+const clientsPerNode = 3
+
+// perNode returns each machine once for each of its clients.
+func perNode(machines []*machine) []*machine {
+	var out []*machine
+	for range clientsPerNode {
+		out = append(out, machines...)
+	}
+	return out
+}
--- a/review/standin-2/drain.go
+++ b/review/standin-2/drain.go
@@ -53,8 +53,8 @@
 		rec.line("another writer: status %d to a heartbeat without a zone: %s", f.say(leaving.machine, fmt.Sprintf(wire["heartbeatPath"], leaving.id), text), text)
 	}
 	var clients sync.WaitGroup
-	lost := make(chan int, len(f.nodes))
-	for _, m := range f.nodes {
+	lost := make(chan int, clientsPerNode*len(f.nodes))
+	for _, m := range perNode(f.nodes) {
 		clients.Add(1)
 		go func() {
 			defer clients.Done()
@@ -78,7 +78,7 @@
 	rec.line("worker %s: ends", leaving.id)
 	clients.Wait()
 	total := 0
-	for range f.nodes {
+	for range perNode(f.nodes) {
 		total += <-lost
 	}
 	rec.line("requests that got no answer of a worker: %d", total)
--- a/review/standin-2/pipeline.go
+++ b/review/standin-2/pipeline.go
@@ -62,7 +62,7 @@
 	lost := make(chan int, clients)
 	for range clients {
 		ids := []string{newRequestID(), newRequestID()}
-		go func() { lost <- f.sendPair(f.nodes[0], key, ids, []int{3400, 3700}) }()
+		go func() { lost <- f.sendPair(f.nodes[0], key, ids, []int{3800, 4100}) }()
 	}
 	time.Sleep(100 * time.Millisecond)
 	if trouble {
--- a/review/standin-2/quota.go
+++ b/review/standin-2/quota.go
@@ -44,7 +44,7 @@
 		return cannotRun
 	}
 	time.Sleep(2 * time.Second)
-	stop := time.Now().Add(50 * time.Second)
+	stop := time.Now().Add(75 * time.Second)
 	var mu sync.Mutex
 	type second struct{ sent, served int }
 	seconds := map[int]*second{}
@@ -89,7 +89,7 @@
 	rec.line("operator: the quota of tenant-1 becomes %s", quota)
 	rec.line("operator: status %d", f.put(ctx, configuration(version, version-1, routes, services, tenants)))
 	clients.Wait()
-	for i := range 50 {
+	for i := range 75 {
 		if s := seconds[i]; s != nil {
 			rec.line("second %d of the clients: %d sent, %d served", i, s.sent, s.served)
 		}
--- a/review/standin-2/return.go
+++ b/review/standin-2/return.go
@@ -57,8 +57,8 @@
 		return cannotRun
 	}
 	var clients sync.WaitGroup
-	lost := make(chan int, len(f.nodes))
-	for _, m := range f.nodes[1:] {
+	lost := make(chan int, clientsPerNode*len(f.nodes))
+	for _, m := range perNode(f.nodes[1:]) {
 		clients.Add(1)
 		go func() {
 			defer clients.Done()
@@ -90,7 +90,7 @@
 	rec.line("worker %s: ends", leaving.id)
 	clients.Wait()
 	total := 0
-	for range f.nodes[1:] {
+	for range perNode(f.nodes[1:]) {
 		total += <-lost
 	}
 	rec.line("requests that got no answer of a worker: %d", total)
