Keep a stopping node from cutting pipelined requests

Cause: http.Server.Shutdown makes net/http end each connection with its next response. Package pipeliner serves the requests of a connection on connections within the process, so a response with others behind it is such a "next response" too: it carries "Connection: close", and the connection closes behind it. The node's own "Connection: close" is set only if nothing is behind the request (EndConnection); the server's was not checked by anything.

Change: before the server shuts down, the node waits until no connection owes responses to several requests, and starts none behind another any more. What is last on its connection gets "Connection: close" from the handler or the server as before. The wait ends with the stop's limit, at which requests in progress are answered.

Metric callers.pipelinedCut and field pipelinedCut of nodeStopStep count such requests.

--- /dev/null
+++ b/internal/dialer/pipelined_stop_test.go
@@ -0,0 +1,105 @@
+package dialer
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/netip"
+	"strings"
+	"testing"
+	"time"
+
+	"go.uber.org/zap"
+	"gopkg.in/tomb.v2"
+
+	"github.com/lavenderhub/lavenderhub/internal/timer"
+)
+
+// serveCallers serves a handler to callers and returns the server.
+func serveCallers(t *testing.T, h http.HandlerFunc) *Server {
+	t.Helper()
+	s, err := NewSecurity(nil, timer.New(), zap.NewNop())
+	if err != nil {
+		t.Fatal(err)
+	}
+	servers := &tomb.Tomb{}
+	srv, err := s.ListenAndServe(servers, netip.MustParseAddrPort("127.0.0.1:0"), Callers, h)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() {
+		_ = srv.Close()
+		_ = servers.Wait()
+	})
+	return srv
+}
+
+// TestShutdownCutsPipelinedRequests guards against a shutdown that closes a caller's connection after the first response while
+// requests behind it are in progress.
+func TestShutdownCutsPipelinedRequests(t *testing.T) {
+	tests := []struct {
+		name  string
+		waits []time.Duration
+	}{
+		{"later requests take longer", []time.Duration{200 * time.Millisecond, 400 * time.Millisecond, 600 * time.Millisecond}},
+		{"later responses are held", []time.Duration{500 * time.Millisecond, time.Millisecond, time.Millisecond}},
+		{"one at a time", []time.Duration{300 * time.Millisecond}},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			started := make(chan struct{}, len(tt.waits)+1)
+			srv := serveCallers(t, func(w http.ResponseWriter, r *http.Request) {
+				started <- struct{}{}
+				wait, _ := time.ParseDuration(r.URL.Query().Get("wait"))
+				select {
+				case <-time.After(wait):
+					_, _ = io.WriteString(w, r.URL.Path)
+				case <-r.Context().Done():
+				}
+			})
+			c, err := net.Dial("tcp", srv.Addr().String())
+			if err != nil {
+				t.Fatal(err)
+			}
+			defer func() { _ = c.Close() }()
+			_ = c.SetDeadline(time.Now().Add(5 * time.Second))
+			var requests strings.Builder
+			for i, wait := range tt.waits {
+				fmt.Fprintf(&requests, "GET /%d?wait=%v HTTP/1.1\r\nHost: a\r\n\r\n", i, wait)
+			}
+			_, _ = io.WriteString(c, requests.String())
+			for range tt.waits {
+				<-started
+			}
+			var group tomb.Tomb
+			group.Go(func() error {
+				ctx, cancel := context.WithTimeout(context.Background(), 3*time.Second)
+				defer cancel()
+				return srv.Shutdown(ctx)
+			})
+			br := bufio.NewReader(c)
+			for i := range tt.waits {
+				resp, err := http.ReadResponse(br, nil)
+				if err != nil {
+					t.Fatalf("response %d of %d: %v", i, len(tt.waits), err)
+				}
+				body, err := io.ReadAll(resp.Body)
+				if want := fmt.Sprint("/", i); err != nil || string(body) != want {
+					t.Fatalf("response %d: %q, %v; want %q", i, body, err, want)
+				}
+				if last := i == len(tt.waits)-1; resp.Close && !last {
+					t.Errorf("response %d says that the connection closes, with %d behind it", i, len(tt.waits)-1-i)
+				}
+			}
+			if err := group.Wait(); err != nil {
+				t.Errorf("shutdown: %v", err)
+			}
+			if n := srv.CutRequests(); n != 0 {
+				t.Errorf("%d requests are counted as cut", n)
+			}
+		})
+	}
+}
--- a/internal/dialer/server.go
+++ b/internal/dialer/server.go
@@ -140,9 +140,21 @@
 	return s.pipelines.ClosedConnections()
 }
 
+// CutRequests returns the number of callers' requests whose connection closed after the response to a request before them.
+func (s *Server) CutRequests() int64 {
+	if s.pipelines == nil {
+		return 0
+	}
+	return s.pipelines.CutRequests()
+}
+
 // Shutdown stops listening, waits for requests in progress and closes connections. It returns the context's error if the
 // context ends first.
 func (s *Server) Shutdown(ctx context.Context) error {
+	if s.pipelines != nil {
+		// If the context ends first, so does the shutdown, and its caller closes the connections.
+		_ = s.pipelines.AwaitPipelines(ctx)
+	}
 	return s.http.Shutdown(ctx)
 }
 
--- a/internal/pipeliner/conn.go
+++ b/internal/pipeliner/conn.go
@@ -51,7 +51,7 @@
 }
 
 func newConn(raw net.Conn, l *Listener) *conn {
-	c := &conn{Conn: raw, pipe: newPipe(raw, &l.totalHeld), listener: l}
+	c := &conn{Conn: raw, pipe: newPipe(raw, &l.shared), listener: l}
 	c.budget = l.budget
 	return c
 }
@@ -153,11 +153,14 @@
 		return net.ErrClosed
 	}
 	c.wait.isMultiplexed.Store(h.isHTTP2)
-	if !h.mayPrecede() {
+	order, ok := uint64(0), false
+	if h.mayPrecede() {
+		order, ok = c.begin()
+	}
+	if !ok {
 		// What may have an effect never starts before all that stands ahead of it is answered.
-		c.awaitIdle()
+		order, ok = c.beginAlone()
 	}
-	order, ok := c.begin()
 	if !ok {
 		return net.ErrClosed
 	}
--- a/internal/pipeliner/pipe.go
+++ b/internal/pipeliner/pipe.go
@@ -4,7 +4,6 @@
 	"context"
 	"net"
 	"sync"
-	"sync/atomic"
 
 	"github.com/pkg/errors"
 
@@ -22,9 +21,9 @@
 
 // pipe writes the responses to the requests of one connection in the order of the requests.
 type pipe struct {
-	raw       net.Conn
-	totalHeld *atomic.Int64
-	budget    *budgeter.Budget
+	raw    net.Conn
+	shared *shared
+	budget *budgeter.Budget
 
 	mu      sync.Mutex
 	changed sync.Cond
@@ -41,6 +40,8 @@
 	ended      bool
 	closeAtEnd bool
 	closed     bool
+	// pipelined is set while responses to several requests are owed.
+	pipelined bool
 }
 
 // heldResponse is a response whose turn has not come.
@@ -51,13 +52,13 @@
 	closes bool
 }
 
-func newPipe(raw net.Conn, totalHeld *atomic.Int64) *pipe {
-	p := &pipe{raw: raw, totalHeld: totalHeld}
+func newPipe(raw net.Conn, s *shared) *pipe {
+	p := &pipe{raw: raw, shared: s}
 	p.changed.L = &p.mu
 	return p
 }
 
-// begin assigns the next number. It returns false if no further request may start.
+// begin assigns the next number. It returns false if no further request may start, or none while others are in progress.
 func (p *pipe) begin() (order uint64, ok bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -65,9 +66,42 @@
 		return 0, false
 	}
 	p.next++
+	p.countPipelined()
+	if p.pipelined && p.shared.stopped.Load() {
+		p.next--
+		p.countPipelined()
+		return 0, false
+	}
+	return p.next - 1, true
+}
+
+// beginAlone is like begin, but waits until all responses are complete.
+func (p *pipe) beginAlone() (order uint64, ok bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for p.turn != p.next && !p.ended {
+		p.changed.Wait()
+	}
+	if p.ended || p.closed {
+		return 0, false
+	}
+	p.next++
 	return p.next - 1, true
 }
 
+// countPipelined updates the number of pipelined connections after a change of this one. AwaitPipelines sets stopped before it reads
+// that number, so a request that begins either is counted or finds stopped set.
+func (p *pipe) countPipelined() {
+	pipelined := !p.closed && p.next-p.turn > 1
+	switch {
+	case pipelined && !p.pipelined:
+		p.shared.pipelined.Add(1)
+	case !pipelined && p.pipelined:
+		p.shared.pipelined.Add(-1)
+	}
+	p.pipelined = pipelined
+}
+
 // inProgress returns the number of requests whose responses are not complete.
 func (p *pipe) inProgress() int {
 	p.mu.Lock()
@@ -136,12 +170,12 @@
 	if p.heldSize+len(b) > maxHeld {
 		return false
 	}
-	if p.totalHeld.Add(int64(len(b))) > maxHeldTotal {
-		p.totalHeld.Add(-int64(len(b)))
+	if p.shared.totalHeld.Add(int64(len(b))) > maxHeldTotal {
+		p.shared.totalHeld.Add(-int64(len(b)))
 		return false
 	}
 	if !p.budget.TryTake(int64(len(b))) {
-		p.totalHeld.Add(-int64(len(b)))
+		p.shared.totalHeld.Add(-int64(len(b)))
 		return false
 	}
 	h := p.heldOf(order)
@@ -184,7 +218,9 @@
 		delete(p.branches, p.turn)
 		delete(p.held, p.turn)
 		p.turn++
+		p.countPipelined()
 		if closes || (p.closeAtEnd && p.turn == p.next) {
+			p.shared.cut.Add(int64(p.next - p.turn))
 			p.close()
 			return
 		}
@@ -204,7 +240,7 @@
 		}
 		// Until here the bytes are held, since a caller that does not read holds up the write.
 		p.heldSize -= len(data)
-		p.totalHeld.Add(-int64(len(data)))
+		p.shared.totalHeld.Add(-int64(len(data)))
 		p.budget.Return(int64(len(data)))
 		if err != nil {
 			p.close()
@@ -224,7 +260,8 @@
 		return
 	}
 	p.closed, p.ended = true, true
-	p.totalHeld.Add(-int64(p.heldSize))
+	p.countPipelined()
+	p.shared.totalHeld.Add(-int64(p.heldSize))
 	p.budget.Return(int64(p.heldSize))
 	p.held, p.heldSize = nil, 0
 	for _, b := range p.branches {
--- a/internal/pipeliner/pipeliner.go
+++ b/internal/pipeliner/pipeliner.go
@@ -12,6 +12,7 @@
 	"net/http"
 	"sync"
 	"sync/atomic"
+	"time"
 
 	"gopkg.in/tomb.v2"
 
@@ -35,18 +36,28 @@
 	accepted  chan acceptance
 	closed    chan struct{}
 	closeOnce sync.Once
-	stopped   atomic.Bool
 	branches  atomic.Int64
 	// open is the number of callers' connections.
-	open      atomic.Int64
-	totalHeld atomic.Int64
-	crowd     *crowd
-	budget    *budgeter.Budget
+	open   atomic.Int64
+	crowd  *crowd
+	budget *budgeter.Budget
+	shared
 
 	errMu sync.Mutex
 	err   error
 }
 
+// shared is what the connections of a Listener have in common.
+type shared struct {
+	totalHeld atomic.Int64
+	// stopped ends the reading ahead.
+	stopped atomic.Bool
+	// pipelined is the number of connections that owe responses to several requests.
+	pipelined atomic.Int64
+	// cut is the number of requests whose connection closed after the response to a request before them.
+	cut atomic.Int64
+}
+
 // acceptance is a result of Accept.
 type acceptance struct {
 	conn net.Conn
@@ -66,6 +77,12 @@
 	return l.crowd.closed.Load()
 }
 
+// CutRequests returns the number of requests whose connection closed after the response to a request before them, so that they
+// got none.
+func (l *Listener) CutRequests() int64 {
+	return l.cut.Load()
+}
+
 // Listen returns a Listener that accepts the connections of another one, in a goroutine of the tomb.
 func Listen(t *tomb.Tomb, inner net.Listener, tm *timer.Service, opts ...Option) *Listener {
 	l := &Listener{Listener: inner, timer: tm, accepted: make(chan acceptance), closed: make(chan struct{}), crowd: newCrowd(tm, 0)}
@@ -146,6 +163,22 @@
 	l.stopped.Store(true)
 }
 
+// pollInterval is how often AwaitPipelines counts the connections.
+const pollInterval = 10 * time.Millisecond
+
+// AwaitPipelines stops the reading ahead and waits until no connection owes responses to several requests. It must be called before
+// the server's Shutdown, which makes net/http close each connection after its current response. It returns the context's error if
+// the context ends first.
+func (l *Listener) AwaitPipelines(ctx context.Context) error {
+	l.StopBranches()
+	for l.pipelined.Load() > 0 {
+		if err := l.timer.Sleep(ctx, pollInterval); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
 // mayBranch reports whether further requests may be served ahead of their turn.
 func (l *Listener) mayBranch() bool {
 	return !l.stopped.Load() && l.branches.Load() < maxBranches
--- a/internal/pipeliner/pipeliner_test.go
+++ b/internal/pipeliner/pipeliner_test.go
@@ -297,8 +297,8 @@
 	defer func() { _ = near.Close() }()
 	var group sync.WaitGroup
 	group.Go(func() { _, _ = io.Copy(io.Discard, far) })
-	var total atomic.Int64
-	p := newPipe(near, &total)
+	var s shared
+	p := newPipe(near, &s)
 	for range 100 {
 		first, _ := p.begin()
 		second, _ := p.begin()
@@ -307,7 +307,7 @@
 		_, _ = p.write(second, []byte("written"))
 		p.finish(second, false)
 	}
-	if len(p.held) != 0 || p.heldSize != 0 || total.Load() != 0 {
+	if len(p.held) != 0 || p.heldSize != 0 || s.totalHeld.Load() != 0 {
 		t.Errorf("%d records and %d bytes are held after all responses were written", len(p.held), p.heldSize)
 	}
 	p.closeNow()
--- a/internal/runner/node.go
+++ b/internal/runner/node.go
@@ -135,6 +135,7 @@
 	n.callerServer = b.Security.Serve(&n.tomb, callerListener, dialer.Callers, chargeStreams(n.budget, n.face.callerHandler(n)),
 		pipeliner.WithLimits(n.budget, maxConnections()))
 	n.peerServer = b.Security.Serve(&n.tomb, peerListener, dialer.Peers, n.peerHandler())
+	n.Registry.GetOrRegister("callers.pipelinedCut", metrics.NewFunctionalGauge(n.callerServer.CutRequests))
 	n.tomb.Go(func() error { return logPressure(&n.tomb, b.Timer, b.Log, n.budget, n.callerServer.ClosedConnections) })
 	n.Log.Info("nodeStarted", zap.String("node", cfg.GetName()),
 		zap.Stringer("callers", n.callerServer.Addr()), zap.Stringer("peers", n.peerServer.Addr()))
@@ -366,7 +367,7 @@
 // logStop logs that a step of a stop begins, with the requests in progress.
 func (n *Node) logStop(step string) {
 	n.Log.Info("nodeStopStep", zap.String("step", step), zap.Int64("active", n.forwarder.Active()),
-		zap.Int("upstreamActive", n.announcer.Inflight()))
+		zap.Int("upstreamActive", n.announcer.Inflight()), zap.Int64("pipelinedCut", n.callerServer.CutRequests()))
 }
 
 // stopTimes returns the longest time for a planned stop, and the part of it during which callers and other nodes learn
--- a/internal/runner/platform_test.go
+++ b/internal/runner/platform_test.go
@@ -11,6 +11,7 @@
 	"net/netip"
 	"os"
 	"runtime"
+	"strconv"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -147,6 +148,10 @@
 		// An upstream that closes the connection ends its response with it.
 		return !strings.Contains(text, "HTTP/1.0") && !strings.Contains(text, "Connection: close")
 	}
+	if text, ok := strings.CutPrefix(kind, "wait-"); ok {
+		ms, _ := strconv.Atoi(text)
+		time.Sleep(time.Duration(ms) * time.Millisecond)
+	}
 	switch kind {
 	case "failed":
 		fmt.Fprintf(c, "HTTP/1.1 500 Internal Server Error\r\n%sContent-Length: 4\r\n\r\noops", head)
