Recognize a request that ends its connection on long and continued lines

What callers saw: requests behind one that ends its connection began to run and were cut by that request's response. It ends its connection with HTTP/1.0 and a target of over 115 bytes, or with "Connection: close" behind 128 bytes of padding or on a continued line.

Cause: package pipeliner reads the heads itself and looks only at the first 128 bytes of a line. A length of more than 113 digits, all but the last ones zeros, was read as zero, so that the body was taken for the next request.

Change: the last bytes of the first line are kept for the version; a value that is cut, and a line that continues another, leave the connection to the server, which serves its requests one by one.

TestRequestBehindClosingResponseRuns failed before in three of its new cases, TestWriteStartsBeforeItsTurn in "length with many zeros".

--- a/internal/pipeliner/head.go
+++ b/internal/pipeliner/head.go
@@ -8,6 +8,9 @@
 // maxLinePrefix is the number of bytes of a header line that are examined.
 const maxLinePrefix = 128
 
+// maxLineEnd is the number of bytes of the end of a line that are kept: those of the version and the end of the line.
+const maxLineEnd = len(" HTTP/1.1\r")
+
 // bodyKind tells how the end of a request's body is found.
 type bodyKind int
 
@@ -24,6 +27,8 @@
 type head struct {
 	line     []byte
 	lineSize int
+	// lineEnd holds the last bytes of a line.
+	lineEnd []byte
 	lines    int
 	// isRead is set for GET and HEAD, which may be served ahead of their turn.
 	isRead bool
@@ -47,6 +52,8 @@
 		}
 		h.line = append(h.line, part[:min(len(part), maxLinePrefix-len(h.line))]...)
 		h.lineSize += len(part)
+		h.lineEnd = append(h.lineEnd, part[max(0, len(part)-maxLineEnd):]...)
+		h.lineEnd = h.lineEnd[max(0, len(h.lineEnd)-maxLineEnd):]
 		if i < 0 {
 			return len(p), false
 		}
@@ -62,15 +69,14 @@
 func (h *head) endLine() bool {
 	line := bytes.TrimSuffix(h.line, []byte{'\r'})
 	empty := len(line) == 0 && h.lineSize <= 1
-	h.lineSize = 0
 	h.lines++
 	switch {
 	case h.lines == 1:
 		h.startLine(line)
 	case !empty:
-		h.field(line)
+		h.field(line, h.lineSize > len(h.line))
 	}
-	h.line = h.line[:0]
+	h.line, h.lineEnd, h.lineSize = h.line[:0], h.lineEnd[:0], 0
 	return empty
 }
 
@@ -84,7 +90,7 @@
 func (h *head) startLine(line []byte) {
 	h.isHTTP2 = bytes.HasPrefix(line, []byte("PRI "))
 	h.isRead = bytes.HasPrefix(line, get) || bytes.HasPrefix(line, headOf)
-	if (len(line) < maxLinePrefix && !bytes.HasSuffix(line, version)) || bytes.HasPrefix(line, []byte("CONNECT ")) {
+	if !bytes.HasSuffix(bytes.TrimSuffix(h.lineEnd, []byte{'\r'}), version) || bytes.HasPrefix(line, []byte("CONNECT ")) {
 		h.body = openBody
 	}
 }
@@ -94,17 +100,19 @@
 	[]byte("transfer-encoding"), []byte("upgrade"), []byte("expect"), []byte("connection"), []byte("proxy-connection"),
 }
 
-func (h *head) field(line []byte) {
+// field examines a line of a header. The rest of a line that is cut is not known.
+func (h *head) field(line []byte, cut bool) {
 	name, value, ok := bytes.Cut(line, []byte{':'})
 	value = bytes.TrimSpace(value)
 	switch {
-	case !ok:
+	case !ok || line[0] == ' ' || line[0] == '\t':
+		// A line that begins with a space continues the one before.
 		h.body = openBody
 	case bytes.EqualFold(name, []byte("host")):
 		h.hosts++
 	case bytes.EqualFold(name, []byte("content-length")):
-		h.contentLength(value)
-	case bytes.EqualFold(value, []byte("keep-alive")):
+		h.contentLength(value, cut)
+	case bytes.EqualFold(value, []byte("keep-alive")) && !cut:
 	default:
 		for _, other := range leftToServer {
 			if bytes.EqualFold(name, other) {
@@ -114,10 +122,10 @@
 	}
 }
 
-func (h *head) contentLength(value []byte) {
+func (h *head) contentLength(value []byte, cut bool) {
 	n, err := strconv.ParseInt(string(value), 10, 64)
 	switch {
-	case err != nil || n < 0 || h.body != noBody:
+	case cut || err != nil || n < 0 || h.body != noBody:
 		h.body = openBody
 	case n > 0:
 		h.body, h.length = sizedBody, n
@@ -130,5 +138,5 @@
 }
 
 func (h *head) reset() {
-	*h = head{line: h.line[:0]}
+	*h = head{line: h.line[:0], lineEnd: h.lineEnd[:0]}
 }
--- a/internal/pipeliner/pipeliner_test.go
+++ b/internal/pipeliner/pipeliner_test.go
@@ -161,6 +161,7 @@
 func TestWriteStartsBeforeItsTurn(t *testing.T) {
 	tests := []struct{ name, request string }{
 		{"body", "POST /?id=w HTTP/1.1\r\nHost: a\r\nContent-Length: 2\r\n\r\nok"},
+		{"length with many zeros", "POST /?id=w HTTP/1.1\r\nHost: a\r\nContent-Length: " + strings.Repeat("0", maxLinePrefix) + "2\r\n\r\nok"},
 		{"chunks", "POST /?id=w HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\n\r\n"},
 		{"no body", "POST /?id=wok HTTP/1.1\r\nHost: a\r\n\r\n"},
 		{"read that may run once", read("id=wok&once=1")},
@@ -209,12 +210,28 @@
 
 // TestRequestBehindClosingResponseRuns guards against a request that runs although the response ahead of it closes the connection.
 func TestRequestBehindClosingResponseRuns(t *testing.T) {
-	s := startServer(t)
-	c := s.dial()
-	_, _ = io.WriteString(c, "GET /?id=a&wait=50 HTTP/1.1\r\nHost: a\r\nConnection: close\r\n\r\n"+read("id=b"))
-	s.exchange(c, "200 a")
-	if got, err := responses(c, 1); err == nil || s.started.Load() != 1 {
-		t.Errorf("got %q behind a closing response, %d requests ran", got, s.started.Load())
+	long := strings.Repeat("x", 2*maxLinePrefix)
+	padding := strings.Repeat(" ", 2*maxLinePrefix)
+	tests := []struct{ name, line, fields string }{
+		{"connection closes", "GET /?id=a&wait=50 HTTP/1.1", "Connection: close\r\n"},
+		{"behind another token", "GET /?id=a&wait=50 HTTP/1.1", "Connection: keep-alive, close\r\n"},
+		{"behind padding", "GET /?id=a&wait=50 HTTP/1.1", "Connection: keep-alive" + padding + ", close\r\n"},
+		{"on a second line", "GET /?id=a&wait=50 HTTP/1.1", "Connection: keep-alive\r\n , close, a:\r\n"},
+		{"earlier version", "GET /?id=a&wait=50 HTTP/1.0", ""},
+		{"earlier version and long target", "GET /?id=a&wait=50&" + long + " HTTP/1.0", ""},
+		{"earlier version and keep-alive", "GET /?id=a&wait=50 HTTP/1.0", "Connection: keep-alive\r\n"},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			s := startServer(t)
+			c := s.dial()
+			// Requests behind this one are read while its handler runs, so one that started would be cut by its end.
+			_, _ = io.WriteString(c, tt.line+"\r\nHost: a\r\n"+tt.fields+"\r\n"+read("id=b&wait=100")+read("id=c&wait=100"))
+			got, _ := responses(c, 3)
+			if len(got) == 0 || got[0] != "200 a" || int(s.started.Load()) != len(got) {
+				t.Errorf("got %q, %d requests ran; want 200 a first, and a response to each that ran", got, s.started.Load())
+			}
+		})
 	}
 }
 
