Start no request behind one that the server refuses

What callers saw: a request at which a worker was at work was cut, because the one before it on its connection was answered by net/http itself: with 400 for a target, host or field that is no valid one. Such an answer closes the connection.

Cause: package pipeliner looks only at what decides whether a request may be served ahead of its turn. It took requests that net/http refuses for valid ones, and started those behind them.

Any other one waits for the server, which answers it in its turn and reads nothing behind it.

TestGarbageBehindRequests failed before in its five new cases.

--- a/internal/pipeliner/conn.go
+++ b/internal/pipeliner/conn.go
@@ -218,7 +218,7 @@
 	for len(c.buffer) > 0 && c.inProgress() < maxAhead && c.listener.mayBranch() {
 		var h head
 		n, done := h.scan(c.buffer)
-		if !done || !h.mayPrecede() {
+		if !done || !h.mayPrecede() || !isServable(c.buffer[:n]) {
 			return
 		}
 		order, ok := c.begin()
--- a/internal/pipeliner/pipeliner_test.go
+++ b/internal/pipeliner/pipeliner_test.go
@@ -253,6 +253,11 @@
 		{"bad header", "GET / HTTP/1.1\r\nHost: a\r\nbad header\r\n\r\n"},
 		{"two lengths", "GET / HTTP/1.1\r\nHost: a\r\nContent-Length: 0\r\nContent-Length: 4\r\n\r\n"},
 		{"no host", "GET / HTTP/1.1\r\n\r\n"},
+		{"bad target", "GET /%zz HTTP/1.1\r\nHost: a\r\n\r\n"},
+		{"bad host", "GET / HTTP/1.1\r\nHost: a b\r\n\r\n"},
+		{"bad field name", "GET / HTTP/1.1\r\nHost: a\r\nbad name: x\r\n\r\n"},
+		{"bad field value", "GET / HTTP/1.1\r\nHost: a\r\nName: \x01\r\n\r\n"},
+		{"bad long field value", "GET / HTTP/1.1\r\nHost: a\r\nName: " + strings.Repeat("x", 2*maxLinePrefix) + "\x7f\r\n\r\n"},
 	}
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
