Round tokens down, so that a large quota doesn't end control hosts

Cause: the owner counts tokens as float64. From 2^33 on their spacing is over the tolerance of the invariant tokensWithinBurst. The available tokens are at the limit; a grant takes a fraction of a token from them, the difference is rounded up, and available and outstanding tokens together lie one step above the burst. Not at fault: the leases, whose rates follow the demand, and the refill, which is cut to the room.

Change: a grant and the clamp to the limit round down, by the exact error of the sum (rounding.go). Rounding then creates no tokens under a quota of any size, the sum stays within the limit without any tolerance, and the check is as strict as before. A bucket above 2^53 tokens loses at most one step of a float64 with a grant, one part in 2^52 of it. Quotas are not capped.

--- a/internal/limiter/pool.go
+++ b/internal/limiter/pool.go
@@ -136,7 +136,7 @@
 
 // clamp reduces the available tokens to the limit, which may have decreased.
 func (p *pool) clamp(now time.Time) {
-	p.available = max(0, min(p.available, p.limit(now)-p.outstanding))
+	p.available = max(0, min(p.available, subtractDown(p.limit(now), p.outstanding)))
 }
 
 // expire settles expired batches and removes holders that no longer send requests.
@@ -199,8 +199,8 @@
 		tokens = p.grantable(p.share(holder, req, demand), float64(req.Waiting), now)
 	}
 	if tokens > 0 {
-		p.available -= tokens
-		p.outstanding += tokens
+		p.available = subtractDown(p.available, tokens)
+		p.outstanding = addDown(p.outstanding, tokens)
 		holder.granted += tokens
 		holder.batches = append(holder.batches, ownerBatch{end: holder.granted, expires: now.Add(ownerLifetime)})
 		p.check(now)
