--- a/internal/pipeliner/head.go
+++ b/internal/pipeliner/head.go
@@ -29,7 +29,7 @@
 	lineSize int
 	// lineEnd holds the last bytes of a line.
 	lineEnd []byte
-	lines    int
+	lines   int
 	// isRead is set for GET and HEAD, which may be served ahead of their turn.
 	isRead bool
 	body   bodyKind
