Distribute requests by weights whose sum overflows

Cause: the sum of the weights was infinite, and a sample of it too; the smallest weights were rounded when multiplied by the sample.

Change: weights are divided by the largest of their route. TestWeightsOutOfProportion failed before in four cases.

--- a/internal/resolver/host_route.go
+++ b/internal/resolver/host_route.go
@@ -74,12 +74,27 @@
 	return hosts
 }
 
+// weightUnit returns the weight by which those of a route are divided: the largest, so that neither their sum nor a share of it is out of
+// the range of a number.
+func weightUnit(shares []*schema.Share) float64 {
+	unit := 0.0
+	for _, s := range shares {
+		unit = max(unit, s.GetWeight())
+	}
+	if unit == 0 {
+		return 1
+	}
+	return unit
+}
+
 func newHostRoute(p *schema.HostRoute) *HostRoute {
 	r := &HostRoute{Name: p.GetName(), Prefix: p.GetPrefix()}
 	idempotent := p.GetIdempotent()
+	unit := weightUnit(p.GetShares())
 	for _, s := range p.GetShares() {
-		r.totalWeight += max(0, s.GetWeight())
-		r.shares = append(r.shares, share{weight: s.GetWeight(), route: &Route{
+		weight := max(0, s.GetWeight()/unit)
+		r.totalWeight += weight
+		r.shares = append(r.shares, share{weight: weight, route: &Route{
 			Service:          s.GetService(),
 			Name:             p.GetName(),
 			Prefix:           p.GetPrefix(),
