Count retries of routes with more attempts than an int32 holds

What callers saw: a route whose maxAttempts is over had no retries at all.

Cause: the number was converted to int32 and became negative.

Change: a budget holds at most retries, and a report is compared before it is converted.

--- a/internal/retrier/budget.go
+++ b/internal/retrier/budget.go
@@ -2,7 +2,10 @@
 // account and each service has a limit on the ratio of retries to successes.
 package retrier
 
-import "sync/atomic"
+import (
+	"math"
+	"sync/atomic"
+)
 
 // Budget is the number of retries left for a request and its nested calls. It is safe for concurrent use.
 type Budget struct {
@@ -10,10 +13,10 @@
 	spent atomic.Int32
 }
 
-// NewBudget returns a budget of n retries.
+// NewBudget returns a budget of n retries, or of the largest number that it can count.
 func NewBudget(n uint32) *Budget {
 	b := &Budget{}
-	b.left.Store(int32(n))
+	b.left.Store(int32(min(n, math.MaxInt32)))
 	return b
 }
 
@@ -79,7 +82,7 @@
 // Settle charges the retries that the nested call used and returns the rest to the budget. Callers pass the full size
 // for a call whose response was lost.
 func (r *Reservation) Settle(used uint32) {
-	charged := min(int32(used), r.size)
+	charged := int32(min(used, uint32(r.size)))
 	r.budget.spent.Add(charged)
 	r.budget.left.Add(r.size - charged)
 	r.size = 0
