Keep connections whose keep-alive timeout is out of range

What callers saw: nothing; an upstream that announces "Keep-Alive: timeout=" got a new connection for each request.

Cause: the seconds overflowed when they were converted to a duration. Change: they are cut to the node's own idle timeout first.

--- a/internal/exchanger/exchange.go
+++ b/internal/exchanger/exchange.go
@@ -203,7 +203,9 @@
 			continue
 		}
 		if seconds, err := strconv.Atoi(value); err == nil {
-			c.idleTimeout = max(0, min(IdleTimeout, time.Duration(seconds-1)*time.Second))
+			// A figure out of range must not overflow.
+			seconds = min(max(seconds, 1), int(IdleTimeout/time.Second)+2)
+			c.idleTimeout = min(IdleTimeout, time.Duration(seconds-1)*time.Second)
 		}
 	}
 }
