--- a/internal/resolver/configuration.go
+++ b/internal/resolver/configuration.go
@@ -72,7 +72,7 @@
 		return errors.New("the timeout must be positive")
 	case r.GetObjectiveLatency().AsDuration() < 0:
 		return errors.New("the objective for latency must not be negative")
-	case r.GetObjectiveLatency().AsDuration() >= timeout+maxLatencyExcess:
+	case r.GetObjectiveLatency().AsDuration()-maxLatencyExcess >= timeout:
 		return errors.New("the objective for latency lies far above the timeout")
 	case !strings.HasPrefix(r.GetPrefix(), "/"):
 		return errors.New("the path prefix must begin with a slash")
