Accept bodies under a limit of more than 2^63 bytes

Cause: the limit became negative when it was converted to an int64. Change: it is cut to the largest int64, also where the settings give it.

TestPlatformExtremeFiguresEndProcess failed before. Cold rates up to the largest number are tested in TestColdBound; nothing had to change there.

--- a/internal/forwarder/body.go
+++ b/internal/forwarder/body.go
@@ -5,6 +5,7 @@
 	"context"
 	"encoding/hex"
 	"io"
+	"math"
 	"net/http"
 	"time"
 
@@ -148,7 +149,7 @@
 func (f *Forwarder) ReadBody(w http.ResponseWriter, r *http.Request) (*Body, *refuser.Refusal) {
 	limit := f.bodyLimit
 	if view := f.Control.View(); view != nil && view.Limits.GetMaxBodyBytes() > 0 {
-		limit = int64(view.Limits.GetMaxBodyBytes())
+		limit = int64(min(view.Limits.GetMaxBodyBytes(), math.MaxInt64))
 	}
 	switch {
 	case r.ContentLength > limit:
--- a/internal/runner/node.go
+++ b/internal/runner/node.go
@@ -3,6 +3,7 @@
 
 import (
 	"context"
+	"math"
 	"net"
 	"net/http"
 	"net/netip"
@@ -271,7 +272,7 @@
 	}
 	opts = append(opts, n.face.forwarderOptions()...)
 	if limit := n.cfg.GetBodyLimitBytes(); limit > 0 {
-		opts = append(opts, forwarder.WithBodyLimit(int64(limit)))
+		opts = append(opts, forwarder.WithBodyLimit(int64(min(limit, math.MaxInt64))))
 	}
 	n.forwarder = forwarder.New(forwarder.Parts{
 		Timer: n.Timer, Log: n.Log, Assert: n.Assert, Registry: n.Registry, Router: n.router, Announcer: n.announcer,
