--- a/internal/admitter/cold_test.go
+++ b/internal/admitter/cold_test.go
@@ -36,7 +36,7 @@
 		{"no excess and no slack", ColdLimit{Rate: 11, Excess: 1}, time.Millisecond, 1 << 20, false, false, 11, 50},
 		{"no settings", ColdLimit{Rate: 11}, time.Millisecond, 1 << 20, false, false, 11, 50},
 		{"slack only", ColdLimit{Rate: 1, Excess: 1, Slack: 3}, time.Millisecond, 1 << 20, false, false, 4, 4},
-		{"rate of the largest number", ColdLimit{Rate: math.MaxFloat64, Excess: 1.5, Slack: 8}, time.Millisecond, 1 << 20, false, false, 1001, 7999},
+		{"largest rate", ColdLimit{Rate: math.MaxFloat64, Excess: 1.5, Slack: 8}, time.Millisecond, 1 << 20, false, false, 1001, 7999},
 		{"large rate without excess", ColdLimit{Rate: 1.7e308}, time.Millisecond, 1 << 20, false, false, 1001, 7999},
 		{"large rate, cold again", ColdLimit{Rate: 1.7e308, Excess: 1.5}, time.Millisecond, 1 << 20, false, true, 1001, 7999},
 		{"smallest rate", ColdLimit{Rate: math.SmallestNonzeroFloat64, Excess: 1}, time.Millisecond, 1 << 20, false, false, 1, 0},
--- a/internal/exchanger/exchange_test.go
+++ b/internal/exchanger/exchange_test.go
@@ -154,7 +154,10 @@
 		{"connection close", strings.Replace(okResponse, "\r\n\r\n", "\r\nConnection: close\r\n\r\n", 1), true},
 		{"extra bytes after the response", okResponse + "more", true},
 		{"another response after the matching one", okResponse + strings.Replace(okResponse, "ID", "other", 1), true},
-		{"keep-alive timeout out of range", strings.Replace(okResponse, "\r\n\r\n", "\r\nKeep-Alive: timeout=4611686018427387905\r\n\r\n", 1), false},
+		{
+			"keep-alive timeout out of range",
+			strings.Replace(okResponse, "\r\n\r\n", "\r\nKeep-Alive: timeout=4611686018427387905\r\n\r\n", 1), false,
+		},
 		{"keep-alive timeout of 1 s", strings.Replace(okResponse, "\r\n\r\n", "\r\nKeep-Alive: timeout=1\r\n\r\n", 1), true},
 	}
 	for _, tt := range tests {
--- a/internal/limiter/extreme_test.go
+++ b/internal/limiter/extreme_test.go
@@ -17,7 +17,10 @@
 
 // validFigure draws a rate or a burst from the whole range that a configuration may hold, evenly over the orders of magnitude.
 func validFigure(t *rapid.T, name string) float64 {
-	special := []float64{0, 1, 150, 1e10, 1 << 33, 1e12, 1e13, 1e15, 1<<53 - 1, 1 << 53, 9.2e18, 1e300, 1e308, math.MaxFloat64, math.SmallestNonzeroFloat64}
+	special := []float64{
+		0, math.SmallestNonzeroFloat64, 1, 150, 1e10, 1 << 33, 1e12, 1e13, 1e15, 1<<53 - 1, 1 << 53, 9.2e18, 1e300, 1e308,
+		math.MaxFloat64,
+	}
 	if rapid.Bool().Draw(t, name+"IsSpecial") {
 		return rapid.SampledFrom(special).Draw(t, name)
 	}
--- a/internal/pipeliner/conn.go
+++ b/internal/pipeliner/conn.go
@@ -158,7 +158,8 @@
 		order, ok = c.begin()
 	}
 	if !ok {
-		// What may have an effect never starts before all that stands ahead of it is answered.
+		// What may have an effect never starts before all that stands ahead of it is answered, nor does anything once the reading ahead
+		// has ended.
 		order, ok = c.beginAlone()
 	}
 	if !ok {
--- a/internal/pipeliner/head.go
+++ b/internal/pipeliner/head.go
@@ -27,7 +27,7 @@
 type head struct {
 	line     []byte
 	lineSize int
-	// lineEnd holds the last bytes of a line.
+	// lineEnd holds the last bytes of a line, which may be longer than what line holds of it.
 	lineEnd []byte
 	lines   int
 	// isRead is set for GET and HEAD, which may be served ahead of their turn.
@@ -100,8 +100,8 @@
 	[]byte("transfer-encoding"), []byte("upgrade"), []byte("expect"), []byte("connection"), []byte("proxy-connection"),
 }
 
-// field examines a line of a header. The rest of a line that is cut is not known.
-func (h *head) field(line []byte, cut bool) {
+// field examines a line of a header, of which only the beginning is known if it is truncated.
+func (h *head) field(line []byte, truncated bool) {
 	name, value, ok := bytes.Cut(line, []byte{':'})
 	value = bytes.TrimSpace(value)
 	switch {
@@ -111,8 +111,8 @@
 	case bytes.EqualFold(name, []byte("host")):
 		h.hosts++
 	case bytes.EqualFold(name, []byte("content-length")):
-		h.contentLength(value, cut)
-	case bytes.EqualFold(value, []byte("keep-alive")) && !cut:
+		h.contentLength(value, truncated)
+	case bytes.EqualFold(value, []byte("keep-alive")) && !truncated:
 	default:
 		for _, other := range leftToServer {
 			if bytes.EqualFold(name, other) {
@@ -122,10 +122,10 @@
 	}
 }
 
-func (h *head) contentLength(value []byte, cut bool) {
+func (h *head) contentLength(value []byte, truncated bool) {
 	n, err := strconv.ParseInt(string(value), 10, 64)
 	switch {
-	case cut || err != nil || n < 0 || h.body != noBody:
+	case truncated || err != nil || n < 0 || h.body != noBody:
 		h.body = openBody
 	case n > 0:
 		h.body, h.length = sizedBody, n
--- a/internal/pipeliner/pipe.go
+++ b/internal/pipeliner/pipe.go
@@ -58,7 +58,8 @@
 	return p
 }
 
-// begin assigns the next number. It returns false if no further request may start, or none while others are in progress.
+// begin assigns the next number to a request that may start while others are in progress. It returns false if it may not, or if no
+// further request may start at all.
 func (p *pipe) begin() (order uint64, ok bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -75,7 +76,7 @@
 	return p.next - 1, true
 }
 
-// beginAlone is like begin, but waits until all responses are complete.
+// beginAlone waits until all responses are complete and assigns the next number. It returns false if no further request may start.
 func (p *pipe) beginAlone() (order uint64, ok bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
--- a/internal/runner/extreme_figures_test.go
+++ b/internal/runner/extreme_figures_test.go
@@ -102,7 +102,8 @@
 		})
 		f.version++
 		for worker := range f.workers {
-			body := fmt.Sprintf(`{"address":%q,"info":{"service":%q,"zone":"d1","slots":%d},"status":{"state":"ready","seq":%d,"coldLeftS":%g},"born":1000}`,
+			body := fmt.Sprintf(`{"address":%q,"info":{"service":%q,"zone":"d1","slots":%d},`+
+				`"status":{"state":"ready","seq":%d,"coldLeftS":%g},"born":1000}`,
 				f.workers[worker].listener.Addr().String(), f.workers[worker].service, 20+x.random.IntN(100000-20), i+2, x.number())
 			url := "http://" + f.nodes[worker].node.cfg.GetAnnounceAddress() + "/instances/" + f.workers[worker].instance + "/heartbeat"
 			if status := f.post(url, body); status != http.StatusOK {
