--- a/internal/runner/pipelined_stop_test.go
+++ b/internal/runner/pipelined_stop_test.go
@@ -143,3 +143,41 @@
 		t.Errorf("got %q, want two responses", got)
 	}
 }
+
+// TestEvacuationCutsPipelinedRequests guards against pipelined requests that are cut when the failure domain of their upstream is
+// evacuated, at the upstream's node and at another one.
+func TestEvacuationCutsPipelinedRequests(t *testing.T) {
+	// By the first response the gates of the domain refuse requests.
+	const first, second = 3 * time.Second, 3500 * time.Millisecond
+	f := startDomainFleet(t,
+		`"service":"svc1","timeoutS":1.5,"targetLatencyS":1,"priority":1,"maxAttempts":2,"public":true`,
+		`"service":"svc1","timeoutS":8,"targetLatencyS":1,"priority":1,"maxAttempts":2,"public":true`)
+	nodes := []int{1, 2}
+	results := make([][]string, len(nodes))
+	id := func(node int, wait time.Duration) string { return fmt.Sprintf("evacuated-%d-%d", node, wait.Milliseconds()) }
+	var group sync.WaitGroup
+	for i, node := range nodes {
+		group.Go(func() {
+			request := func(wait time.Duration) string {
+				return fmt.Sprintf("GET /one/open/wait-%d HTTP/1.1\r\nHost: a.example\r\nX-Attempt-Id: %s\r\nX-Deadline-Ms: 8000\r\n\r\n",
+					wait.Milliseconds(), id(node, wait))
+			}
+			results[i] = pipelinedResults(t, f.nodes[node].node.CallerAddr(), []string{request(first), request(second)})
+		})
+	}
+	waitUntil(t, "the upstream is at work", func() bool {
+		for _, node := range nodes {
+			if f.workers[2].runCount(id(node, first))+f.workers[2].runCount(id(node, second)) < 2 {
+				return false
+			}
+		}
+		return true
+	})
+	f.evacuation(0, "za", "start", http.StatusOK)
+	group.Wait()
+	for i, got := range results {
+		if strings.Join(got, "|") != "hello|hello" {
+			t.Errorf("node %d: got %q, want two responses", nodes[i], got)
+		}
+	}
+}
