--- a/internal/runner/pipelined_stop_test.go
+++ b/internal/runner/pipelined_stop_test.go
@@ -154,7 +154,9 @@
 		`"service":"svc1","timeoutS":8,"targetLatencyS":1,"priority":1,"maxAttempts":2,"public":true`)
 	nodes := []int{1, 2}
 	results := make([][]string, len(nodes))
-	id := func(node int, wait time.Duration) string { return fmt.Sprintf("evacuated-%d-%d", node, wait.Milliseconds()) }
+	id := func(node int, wait time.Duration) string {
+		return fmt.Sprintf("evacuated-%d-%d", node, wait.Milliseconds())
+	}
 	var group sync.WaitGroup
 	for i, node := range nodes {
 		group.Go(func() {
