--- a/internal/limiter/extreme_test.go
+++ b/internal/limiter/extreme_test.go
@@ -122,18 +122,7 @@
 							})
 						}
 					})
-					group.Go(func() {
-						for range perNode + 10 {
-							time.Sleep(interval)
-							if req, ok := n.bucket.GrantRequest("x", 1); ok {
-								sent := n.bucket.timer.Now()
-								mu.Lock()
-								g, _ := f.owner.Grant(n.holder, req, time.Now())
-								mu.Unlock()
-								n.bucket.AddGrant(g, 1, sent)
-							}
-						}
-					})
+					group.Go(func() { f.exchangeEvery(n, interval, perNode + 10, &mu) })
 				}
 				group.Wait()
 				if n := refused.Load(); n > 0 {
--- a/internal/limiter/random_test.go
+++ b/internal/limiter/random_test.go
@@ -99,6 +99,20 @@
 	n.bucket.AddGrant(g, epoch, sent)
 }
 
+// exchangeEvery makes exchanges without losses at an interval. The lock protects the owner.
+func (f *fleet) exchangeEvery(n *limiterNode, interval time.Duration, count int, mu *sync.Mutex) {
+	for range count {
+		time.Sleep(interval)
+		if req, ok := n.bucket.GrantRequest("x", 1); ok {
+			sent := n.bucket.timer.Now()
+			mu.Lock()
+			g, _ := f.owner.Grant(n.holder, req, time.Now())
+			mu.Unlock()
+			n.bucket.AddGrant(g, 1, sent)
+		}
+	}
+}
+
 // spend takes tokens for a random number of requests without waiting.
 func (f *fleet) spend(n *limiterNode, span time.Duration) {
 	for left := f.random.IntN(2 + int(3*n.demand*span.Seconds())); left > 0; left-- {
@@ -229,18 +243,7 @@
 							})
 						}
 					})
-					wg.Go(func() {
-						for range int(seconds / 0.05) {
-							time.Sleep(50 * time.Millisecond)
-							if req, ok := n.bucket.GrantRequest("x", 1); ok {
-								sent := n.bucket.timer.Now()
-								mu.Lock()
-								g, _ := f.owner.Grant(n.holder, req, time.Now())
-								mu.Unlock()
-								n.bucket.AddGrant(g, 1, sent)
-							}
-						}
-					})
+					wg.Go(func() { f.exchangeEvery(n, 50*time.Millisecond, int(seconds / 0.05), &mu) })
 				}
 				wg.Wait()
 				want := tt.rate * seconds
