--- a/internal/limiter/extreme_test.go
+++ b/internal/limiter/extreme_test.go
@@ -122,7 +122,7 @@
 							})
 						}
 					})
-					group.Go(func() { f.exchangeEvery(n, interval, perNode + 10, &mu) })
+					group.Go(func() { f.exchangeEvery(n, interval, perNode+10, &mu) })
 				}
 				group.Wait()
 				if n := refused.Load(); n > 0 {
--- a/internal/limiter/random_test.go
+++ b/internal/limiter/random_test.go
@@ -243,7 +243,7 @@
 							})
 						}
 					})
-					wg.Go(func() { f.exchangeEvery(n, 50*time.Millisecond, int(seconds / 0.05), &mu) })
+					wg.Go(func() { f.exchangeEvery(n, 50*time.Millisecond, int(seconds/0.05), &mu) })
 				}
 				wg.Wait()
 				want := tt.rate * seconds
