Start no request on a connection that has ended

The trace of the connection showed the responses to all earlier requests, the last of them with "Connection: close", and no begin for the request that ran.

Cause: when the connection has ended, the read of the next head returned its bytes together with the error. bufio delivers the bytes first, so net/http parsed the whole head and called the handler, with the number of an earlier request and on a closed connection. Not only stops are concerned: a node with many connections ends them the same way, and a request with a body ran as well. Ruled out: a response that was written and lost (the trace has no write), and Shutdown (it had not begun to close connections).

--- a/internal/dialer/random_stop_test.go
+++ b/internal/dialer/random_stop_test.go
@@ -61,6 +61,8 @@
 	mu       sync.Mutex
 	sent     []string
 	answered map[string]bool
+	// end is how the connection ended.
+	end error
 }
 
 // request returns the next request. The ids of requests are in the order in which they are sent.
@@ -104,6 +106,7 @@
 	for n := 0; ; n++ {
 		resp, err := http.ReadResponse(br, nil)
 		if err != nil {
+			c.end = err
 			return
 		}
 		body, err := io.ReadAll(resp.Body)
@@ -114,6 +117,7 @@
 		}
 		c.answered[id] = true
 		if resp.Close {
+			c.end = io.EOF
 			return
 		}
 	}
@@ -157,7 +161,7 @@
 			for _, c := range callers {
 				for _, id := range c.sent {
 					if s.started[id] && !c.answered[id] {
-						t.Errorf("request %s started and got no response", id)
+						t.Errorf("request %s started and got no response: %v", id, c.end)
 					}
 				}
 			}
--- a/internal/pipeliner/conn.go
+++ b/internal/pipeliner/conn.go
@@ -18,6 +18,10 @@
 	readSize = 4 << 10
 )
 
+// errEnded is the error of reads from a connection on which no further request may start. The server writes no response to requests
+// whose reads fail with an error of this kind.
+var errEnded = &net.OpError{Op: "read", Net: "tcp", Err: net.ErrClosed}
+
 // conn is a caller's connection. The server gets the bytes of one request at a time. While it serves that request, it reads the
 // connection to learn when the caller leaves; in these reads conn looks for further requests and gives them to branches.
 type conn struct {
@@ -129,7 +133,7 @@
 			c.closeWhenIdle()
 			return 0, net.ErrClosed
 		}
-		return used, c.endHead(done)
+		return c.endHead(used, done)
 	}
 	used, done := c.head.scan(c.buffer[:min(len(p), len(c.buffer))])
 	copy(p, c.buffer[:used])
@@ -138,19 +142,20 @@
 		c.closeWhenIdle()
 		return 0, net.ErrClosed
 	}
-	return used, c.endHead(done)
+	return c.endHead(used, done)
 }
 
-// endHead starts the request whose head is complete.
-func (c *conn) endHead(done bool) error {
+// endHead starts the request whose head is complete. It returns the result of the read, which has no bytes if no request may start:
+// with the end of its head the server would serve it.
+func (c *conn) endHead(used int, done bool) (int, error) {
 	if !done {
-		return nil
+		return used, nil
 	}
 	h := c.head
 	c.head.reset()
 	c.markProgress()
 	if !c.headCharge.holding.Keep() {
-		return net.ErrClosed
+		return 0, errEnded
 	}
 	c.wait.isMultiplexed.Store(h.isHTTP2)
 	order, ok := uint64(0), false
@@ -163,18 +168,18 @@
 		order, ok = c.beginAlone()
 	}
 	if !ok {
-		return net.ErrClosed
+		return 0, errEnded
 	}
 	c.order.Store(order)
 	switch h.body {
 	case openBody:
 		c.plain.Store(true)
-		return nil
+		return used, nil
 	case sizedBody:
 		c.bodyLeft = h.length
 	}
 	c.serving.Store(true)
-	return nil
+	return used, nil
 }
 
 // readAhead reads requests while the server serves one. It returns when the server aborts the read or the caller leaves.
--- a/internal/pipeliner/pipeliner_test.go
+++ b/internal/pipeliner/pipeliner_test.go
@@ -235,6 +235,32 @@
 	}
 }
 
+// TestRequestRunsOnEndedConnection guards against a request that runs although its connection has ended, so that it gets no response.
+func TestRequestRunsOnEndedConnection(t *testing.T) {
+	tests := []struct{ name, request string }{
+		{"body", "POST /?id=c HTTP/1.1\r\nHost: a\r\nContent-Length: 2\r\n\r\nok"},
+		{"no body", "POST /?id=c HTTP/1.1\r\nHost: a\r\n\r\n"},
+		{"body of unknown length", "POST /?id=c HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n"},
+		{"left to the server", "GET /?id=c HTTP/1.1\r\nHost: a\r\nUpgrade: a\r\n\r\n"},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			s := startServer(t)
+			c := s.dial()
+			// The second response is complete before its turn comes, and the third request is read when both are written.
+			_, _ = io.WriteString(c, read("id=a&wait=100")+read("id=b&close=1")+tt.request)
+			got, err := responses(c, 3)
+			if strings.Join(got, "|") != "200 a|200 b" || err == nil {
+				t.Errorf("got %q, %v; want two responses and the end of the connection", got, err)
+			}
+			time.Sleep(100 * time.Millisecond)
+			if n := s.started.Load(); n != 2 {
+				t.Errorf("%d requests ran, want the 2 that got a response", n)
+			}
+		})
+	}
+}
+
 // TestAbortedResponseLooksComplete guards against a response that broke off and is followed by another one.
 func TestAbortedResponseLooksComplete(t *testing.T) {
 	s := startServer(t)
