Close callers' connections without losing a response or a request that was read

Two faults with one cause: the end of a connection was decided without regard to bytes behind the last request.

- Requests behind the last one were read ahead, and dropped when its response closed the connection.
Their callers learn nothing, and may not repeat those that have an effect.
Now a connection isn't ended while bytes behind the last request have been read, a shutdown waits for requests that have been read, and at most one byte is read once the connection, or the reading ahead, has ended.
- A connection with unread bytes was closed, which resets it: what the caller had not yet received of the last response was lost, in each run of the new test.

TestRequestRunsOnEndedConnection becomes TestRequestBehindEndOfConnection: a request that was read is served now, so that the test sends it later, and also checks that such a request isn't read.

Before: all cases of TestRequestBehindEndOfConnection and TestUnreadRequestsCutResponse fail, and a case of TestShutdownCutsPipelinedRequests.

--- a/internal/dialer/pipelined_stop_test.go
+++ b/internal/dialer/pipelined_stop_test.go
@@ -43,14 +43,19 @@
 	tests := []struct {
 		name  string
 		waits []time.Duration
+		// read is the number of requests behind those that are read and do not start before all responses are written.
+		read int
 	}{
-		{"later requests take longer", []time.Duration{200 * time.Millisecond, 400 * time.Millisecond, 600 * time.Millisecond}},
-		{"later responses are held", []time.Duration{500 * time.Millisecond, time.Millisecond, time.Millisecond}},
-		{"one at a time", []time.Duration{300 * time.Millisecond}},
+		{"later requests take longer", []time.Duration{200 * time.Millisecond, 400 * time.Millisecond, 600 * time.Millisecond}, 0},
+		{"later responses are held", []time.Duration{500 * time.Millisecond, time.Millisecond, time.Millisecond}, 0},
+		{"one at a time", []time.Duration{300 * time.Millisecond}, 0},
+		{"others are read", []time.Duration{300 * time.Millisecond}, 2},
+		{"others are read behind several", []time.Duration{200 * time.Millisecond, 400 * time.Millisecond}, 2},
 	}
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
-			started := make(chan struct{}, len(tt.waits)+1)
+			total := len(tt.waits) + tt.read
+			started := make(chan struct{}, total+1)
 			srv := serveCallers(t, func(w http.ResponseWriter, r *http.Request) {
 				started <- struct{}{}
 				wait, _ := time.ParseDuration(r.URL.Query().Get("wait"))
@@ -70,6 +75,9 @@
 			for i, wait := range tt.waits {
 				fmt.Fprintf(&requests, "GET /%d?wait=%v HTTP/1.1\r\nHost: a\r\n\r\n", i, wait)
 			}
+			for i := range tt.read {
+				fmt.Fprintf(&requests, "POST /%d?wait=10ms HTTP/1.1\r\nHost: a\r\nContent-Length: 0\r\n\r\n", len(tt.waits)+i)
+			}
 			_, _ = io.WriteString(c, requests.String())
 			for range tt.waits {
 				<-started
@@ -81,17 +89,17 @@
 				return srv.Shutdown(ctx)
 			})
 			br := bufio.NewReader(c)
-			for i := range tt.waits {
+			for i := range total {
 				resp, err := http.ReadResponse(br, nil)
 				if err != nil {
-					t.Fatalf("response %d of %d: %v", i, len(tt.waits), err)
+					t.Fatalf("response %d of %d: %v", i, total, err)
 				}
 				body, err := io.ReadAll(resp.Body)
 				if want := fmt.Sprint("/", i); err != nil || string(body) != want {
 					t.Fatalf("response %d: %q, %v; want %q", i, body, err, want)
 				}
-				if last := i == len(tt.waits)-1; resp.Close && !last {
-					t.Errorf("response %d says that the connection closes, with %d behind it", i, len(tt.waits)-1-i)
+				if last := i == total-1; resp.Close && !last {
+					t.Errorf("response %d says that the connection closes, with %d behind it", i, total-1-i)
 				}
 			}
 			if err := group.Wait(); err != nil {
--- a/internal/dialer/server.go
+++ b/internal/dialer/server.go
@@ -155,10 +155,20 @@
 		// If the context ends first, so does the shutdown, and its caller closes the connections.
 		_ = s.pipelines.AwaitPipelines(ctx)
 	}
-	return s.http.Shutdown(ctx)
+	if err := s.http.Shutdown(ctx); err != nil {
+		return err
+	}
+	if s.pipelines != nil {
+		// All responses are written. If the context ends first, a slow caller may lose a part of its last one.
+		_ = s.pipelines.AwaitClosed(ctx)
+	}
+	return nil
 }
 
 // Close stops listening and closes all connections, also those with requests in progress.
 func (s *Server) Close() error {
+	if s.pipelines != nil {
+		s.pipelines.Abort()
+	}
 	return s.http.Close()
 }
--- a/internal/pipeliner/conn.go
+++ b/internal/pipeliner/conn.go
@@ -117,6 +117,14 @@
 
 // readHead returns bytes up to the end of the next request's head.
 func (c *conn) readHead(p []byte) (int, error) {
+	if c.hasEnded() {
+		return 0, errEnded
+	}
+	if len(c.buffer) == 0 && c.head.size == 0 && c.inProgress() > 0 {
+		if err := c.readFirst(); err != nil {
+			return 0, err
+		}
+	}
 	if len(c.buffer) == 0 {
 		n, err := c.readWaiting(p)
 		if n == 0 {
@@ -145,6 +153,22 @@
 	return c.endHead(used, done)
 }
 
+// readFirst reads the first byte of a request while others are in progress. It waits for their responses if no more may be read ahead.
+func (c *conn) readFirst() error {
+	n, err := c.readWaiting(c.first[:])
+	if n == 0 {
+		if err != nil && !isTimeout(err) {
+			c.closeNow()
+		}
+		return err
+	}
+	c.buffer = append(c.buffer, c.first[0])
+	if !c.mayReadAhead() && !c.awaitTurns() {
+		return errEnded
+	}
+	return nil
+}
+
 // endHead starts the request whose head is complete. It returns the result of the read, which has no bytes if no request may start:
 // with the end of its head the server would serve it.
 func (c *conn) endHead(used int, done bool) (int, error) {
@@ -158,6 +182,9 @@
 		return 0, errEnded
 	}
 	c.wait.isMultiplexed.Store(h.isHTTP2)
+	if c.inProgress() > 0 {
+		c.setAhead(true, true)
+	}
 	order, ok := uint64(0), false
 	if h.mayPrecede() {
 		order, ok = c.begin()
@@ -173,20 +200,26 @@
 	c.order.Store(order)
 	switch h.body {
 	case openBody:
+		c.setAhead(false, false)
 		c.plain.Store(true)
 		return used, nil
 	case sizedBody:
 		c.bodyLeft = h.length
 	}
+	// The head of this request counts as read ahead until its handler runs.
+	behind := c.buffer[min(int64(len(c.buffer)), c.bodyLeft):]
+	c.setAhead(len(behind) > 0, c.headAhead || hasHead(behind))
 	c.serving.Store(true)
 	return used, nil
 }
 
-// readAhead reads requests while the server serves one. It returns when the server aborts the read or the caller leaves.
+// readAhead reads requests while the server serves one, or a single byte if no more may be read. It returns when the server aborts the
+// read or the caller leaves.
 func (c *conn) readAhead() error {
 	for {
-		c.startBranches()
-		if len(c.buffer) >= maxBuffered || !c.chargeAhead() {
+		headAhead := c.startBranches()
+		c.setAhead(len(c.buffer) > 0, headAhead)
+		if (len(c.buffer) > 0 && !c.mayReadAhead()) || len(c.buffer) >= maxBuffered || !c.chargeAhead() {
 			c.awaitAbort()
 			return os.ErrDeadlineExceeded
 		}
@@ -219,17 +252,21 @@
 	return n, err
 }
 
-// startBranches gives complete requests that may precede to branches. Others wait until the server reads them.
-func (c *conn) startBranches() {
-	for len(c.buffer) > 0 && c.inProgress() < maxAhead && c.listener.mayBranch() {
+// startBranches gives complete requests that may precede to branches. Others wait until the server reads them. It reports whether the
+// head of the first of these is complete.
+func (c *conn) startBranches() bool {
+	for len(c.buffer) > 0 {
 		var h head
 		n, done := h.scan(c.buffer)
-		if !done || !h.mayPrecede() || !isServable(c.buffer[:n]) {
-			return
+		if !done {
+			return false
+		}
+		if c.inProgress() >= maxAhead || !c.listener.mayBranch() || !h.mayPrecede() || !isServable(c.buffer[:n]) {
+			return true
 		}
 		order, ok := c.begin()
 		if !ok {
-			return
+			return true
 		}
 		b := newBranch(c.pipe, c.listener.timer, order, append([]byte(nil), c.buffer[:n]...))
 		c.addBranch(b)
@@ -237,9 +274,20 @@
 		if !c.listener.offer(b) {
 			// The server no longer accepts: the request counts as not read, and the connection closes before its response.
 			c.closeUnread(order)
-			return
+			return false
 		}
 	}
+	return false
+}
+
+// hasHead reports whether bytes hold a whole head.
+func hasHead(p []byte) bool {
+	if len(p) == 0 {
+		return false
+	}
+	var h head
+	_, done := h.scan(p)
+	return done
 }
 
 // closeUnread ends the connection with the response before the one of a request that can't be served.
@@ -252,6 +300,7 @@
 func (c *conn) completeRequest() {
 	if !c.plain.Load() && c.serving.CompareAndSwap(true, false) {
 		c.markProgress()
+		c.setAhead(len(c.buffer) > 0, hasHead(c.buffer))
 		c.finish(c.order.Load(), false)
 	}
 }
@@ -281,7 +330,7 @@
 func (c *conn) Close() error {
 	switch {
 	case c.plain.Load():
-		c.closeNow()
+		c.closeWritten()
 	case c.serving.CompareAndSwap(true, false):
 		c.finish(c.order.Load(), true)
 	default:
--- a/internal/pipeliner/pipe.go
+++ b/internal/pipeliner/pipe.go
@@ -40,8 +40,14 @@
 	ended      bool
 	closeAtEnd bool
 	closed     bool
+	// ahead is set while bytes behind the last request that began have been read, and headAhead while they hold a whole head or a
+	// request that was read so begins. Only the reader sets them.
+	ahead     bool
+	headAhead bool
 	// pipelined is set while responses to several requests are owed.
 	pipelined bool
+	// resets is set while the connection ends with a reset.
+	resets bool
 }
 
 // heldResponse is a response whose turn has not come.
@@ -80,20 +86,38 @@
 func (p *pipe) beginAlone() (order uint64, ok bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	for p.turn != p.next && !p.ended {
-		p.changed.Wait()
-	}
-	if p.ended || p.closed {
+	if !p.awaitTurnsLocked() {
 		return 0, false
 	}
 	p.next++
 	return p.next - 1, true
 }
 
+// hasEnded reports whether no further request may start.
+func (p *pipe) hasEnded() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.ended
+}
+
+// awaitTurns waits until all responses are complete. It returns false if no further request may start.
+func (p *pipe) awaitTurns() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.awaitTurnsLocked()
+}
+
+func (p *pipe) awaitTurnsLocked() bool {
+	for p.turn != p.next && !p.ended {
+		p.changed.Wait()
+	}
+	return !p.ended && !p.closed
+}
+
 // countPipelined updates the number of pipelined connections after a change of this one. AwaitPipelines sets stopped before it reads
 // that number, so a request that begins either is counted or finds stopped set.
 func (p *pipe) countPipelined() {
-	pipelined := !p.closed && p.next-p.turn > 1
+	pipelined := !p.closed && (p.next-p.turn > 1 || p.headAhead)
 	switch {
 	case pipelined && !p.pipelined:
 		p.shared.pipelined.Add(1)
@@ -103,6 +127,29 @@
 	p.pipelined = pipelined
 }
 
+// mayReadAhead reports whether more may be read behind the last request that began, of which some bytes have been read. A request that
+// is read whole should be served, so nothing is read once the connection or the reading ahead has ended.
+func (p *pipe) mayReadAhead() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.ended || p.closed || p.shared.stopped.Load() {
+		return false
+	}
+	p.ahead = true
+	return true
+}
+
+// setAhead records what has been read behind the last request that began.
+func (p *pipe) setAhead(ahead, head bool) {
+	if p.ahead == ahead && p.headAhead == head {
+		return
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.ahead, p.headAhead = ahead, head
+	p.countPipelined()
+}
+
 // inProgress returns the number of requests whose responses are not complete.
 func (p *pipe) inProgress() int {
 	p.mu.Lock()
@@ -119,6 +166,15 @@
 	}
 }
 
+// awaitClosed waits until the connection is closed.
+func (p *pipe) awaitClosed() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for !p.closed {
+		p.changed.Wait()
+	}
+}
+
 // hasTurn reports whether all responses before that of the request are complete.
 func (p *pipe) hasTurn(order uint64) bool {
 	p.mu.Lock()
@@ -137,11 +193,11 @@
 	return !p.closed && ctx.Err() == nil
 }
 
-// endAfter makes a request the last one of the connection. It returns false if others have started behind it.
+// endAfter makes a request the last one of the connection. It returns false if others behind it have started or have been read.
 func (p *pipe) endAfter(order uint64) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if p.next != order+1 {
+	if p.next != order+1 || p.ahead {
 		return false
 	}
 	p.ended = true
@@ -222,7 +278,7 @@
 		p.countPipelined()
 		if closes || (p.closeAtEnd && p.turn == p.next) {
 			p.shared.cut.Add(int64(p.next - p.turn))
-			p.close()
+			p.close(lingering)
 			return
 		}
 		h := p.held[p.turn]
@@ -244,7 +300,7 @@
 		p.shared.totalHeld.Add(-int64(len(data)))
 		p.budget.Return(int64(len(data)))
 		if err != nil {
-			p.close()
+			p.close(atOnce)
 			return
 		}
 		if !h.done {
@@ -255,8 +311,19 @@
 	p.changed.Broadcast()
 }
 
+// closing is a way to close a connection.
+type closing int
+
+const (
+	// atOnce drops what is not sent. It is for connections that the caller has closed, or whose responses are given up.
+	atOnce closing = iota
+	// lingering ends the responses and leaves the rest to conn.linger: closing a connection with unread bytes resets it, and the caller
+	// could lose the last response.
+	lingering
+)
+
 // close closes the connection. Requests whose responses are not written are canceled.
-func (p *pipe) close() {
+func (p *pipe) close(how closing) {
 	if p.closed {
 		return
 	}
@@ -269,16 +336,34 @@
 		b.cancel()
 	}
 	p.branches = nil
-	// The connection is given up, so an error from Close makes no difference.
-	_ = p.raw.Close()
+	if how == atOnce || p.resets || p.shared.aborted.Load() || !p.closeWrite() {
+		// The connection is given up, so an error from Close makes no difference.
+		_ = p.raw.Close()
+	}
 	p.changed.Broadcast()
 }
 
-// closeNow closes the connection.
+// closeWrite ends the responses. The server may wait in a read until the caller ends the connection too, or for lingerTime.
+func (p *pipe) closeWrite() bool {
+	half, ok := p.raw.(interface{ CloseWrite() error })
+	if !ok || half.CloseWrite() != nil {
+		return false
+	}
+	return p.raw.SetReadDeadline(p.shared.timer.Now().Add(lingerTime)) == nil
+}
+
+// closeNow closes the connection, and drops what is not sent.
 func (p *pipe) closeNow() {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.close()
+	p.close(atOnce)
+}
+
+// closeWritten closes the connection after what is written.
+func (p *pipe) closeWritten() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.close(lingering)
 }
 
 // closeWhenIdle closes the connection after the responses in progress.
@@ -287,12 +372,19 @@
 	defer p.mu.Unlock()
 	p.ended = true
 	if p.turn == p.next {
-		p.close()
+		p.close(lingering)
 		return
 	}
 	p.closeAtEnd = true
 }
 
+// setResets sets whether the connection ends with a reset.
+func (p *pipe) setResets(resets bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.resets = resets
+}
+
 // addBranch registers the connection on which a request is served ahead of its turn.
 func (p *pipe) addBranch(b *branch) {
 	p.mu.Lock()
--- a/internal/pipeliner/pipeliner.go
+++ b/internal/pipeliner/pipeliner.go
@@ -32,7 +32,6 @@
 // that uses it.
 type Listener struct {
 	net.Listener
-	timer     *timer.Service
 	accepted  chan acceptance
 	closed    chan struct{}
 	closeOnce sync.Once
@@ -49,6 +48,7 @@
 
 // shared is what the connections of a Listener have in common.
 type shared struct {
+	timer     *timer.Service
 	totalHeld atomic.Int64
 	// stopped ends the reading ahead.
 	stopped atomic.Bool
@@ -56,6 +56,8 @@
 	pipelined atomic.Int64
 	// cut is the number of requests whose connection closed after the response to a request before them.
 	cut atomic.Int64
+	// aborted lets connections close without waiting for their callers.
+	aborted atomic.Bool
 }
 
 // acceptance is a result of Accept.
@@ -85,7 +87,9 @@
 
 // Listen returns a Listener that accepts the connections of another one, in a goroutine of the tomb.
 func Listen(t *tomb.Tomb, inner net.Listener, tm *timer.Service, opts ...Option) *Listener {
-	l := &Listener{Listener: inner, timer: tm, accepted: make(chan acceptance), closed: make(chan struct{}), crowd: newCrowd(tm, 0)}
+	l := &Listener{
+		Listener: inner, accepted: make(chan acceptance), closed: make(chan struct{}), crowd: newCrowd(tm, 0), shared: shared{timer: tm},
+	}
 	for _, opt := range opts {
 		opt(l)
 	}
@@ -163,7 +167,7 @@
 	l.stopped.Store(true)
 }
 
-// pollInterval is how often AwaitPipelines counts the connections.
+// pollInterval is how often AwaitPipelines and AwaitClosed count the connections.
 const pollInterval = 10 * time.Millisecond
 
 // AwaitPipelines stops the reading ahead and waits until no connection owes responses to several requests. It must be called before
@@ -179,6 +183,22 @@
 	return nil
 }
 
+// AwaitClosed waits until all connections are closed. Those that the server has closed may still wait for their callers to read the last
+// response. It returns the context's error if the context ends first.
+func (l *Listener) AwaitClosed(ctx context.Context) error {
+	for l.open.Load() > 0 {
+		if err := l.timer.Sleep(ctx, pollInterval); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// Abort lets the server's Close end all connections at once.
+func (l *Listener) Abort() {
+	l.aborted.Store(true)
+}
+
 // mayBranch reports whether further requests may be served ahead of their turn.
 func (l *Listener) mayBranch() bool {
 	return !l.stopped.Load() && l.branches.Load() < maxBranches
@@ -211,6 +231,9 @@
 			c.freeHead()
 			c.wait.idle.Store(true)
 		case http.StateClosed, http.StateHijacked:
+			if state == http.StateClosed {
+				c.linger()
+			}
 			l.open.Add(-1)
 			l.crowd.remove(c)
 			c.freeHead()
--- a/internal/pipeliner/pipeliner_test.go
+++ b/internal/pipeliner/pipeliner_test.go
@@ -32,6 +32,33 @@
 	canceled atomic.Int64
 	running  atomic.Int64
 	most     atomic.Int64
+	// read is the number of bytes that were read from callers.
+	read atomic.Int64
+}
+
+// countingListener counts the bytes that are read from its connections.
+type countingListener struct {
+	net.Listener
+	read *atomic.Int64
+}
+
+func (l countingListener) Accept() (net.Conn, error) {
+	c, err := l.Listener.Accept()
+	if err != nil {
+		return nil, err
+	}
+	return countingConn{c.(*net.TCPConn), l.read}, nil
+}
+
+type countingConn struct {
+	*net.TCPConn
+	read *atomic.Int64
+}
+
+func (c countingConn) Read(p []byte) (int, error) {
+	n, err := c.TCPConn.Read(p)
+	c.read.Add(int64(n))
+	return n, err
 }
 
 func startServer(t *testing.T) *server {
@@ -42,7 +69,7 @@
 	}
 	var group tomb.Tomb
 	s := &server{t: t, addr: inner.Addr().String()}
-	s.listener = Listen(&group, inner, timer.New())
+	s.listener = Listen(&group, countingListener{inner, &s.read}, timer.New())
 	s.http = &http.Server{Handler: s, ConnState: s.listener.ConnState, ConnContext: s.listener.ConnContext, ReadHeaderTimeout: 5 * time.Second}
 	group.Go(func() error {
 		_ = s.http.Serve(s.listener)
@@ -235,8 +262,9 @@
 	}
 }
 
-// TestRequestRunsOnEndedConnection guards against a request that runs although its connection has ended, so that it gets no response.
-func TestRequestRunsOnEndedConnection(t *testing.T) {
+// TestRequestBehindEndOfConnection guards against a request behind the last one of its connection that runs, or is read, and gets no
+// response.
+func TestRequestBehindEndOfConnection(t *testing.T) {
 	tests := []struct{ name, request string }{
 		{"body", "POST /?id=c HTTP/1.1\r\nHost: a\r\nContent-Length: 2\r\n\r\nok"},
 		{"no body", "POST /?id=c HTTP/1.1\r\nHost: a\r\n\r\n"},
@@ -247,15 +275,26 @@
 		t.Run(tt.name, func(t *testing.T) {
 			s := startServer(t)
 			c := s.dial()
-			// The second response is complete before its turn comes, and the third request is read when both are written.
-			_, _ = io.WriteString(c, read("id=a&wait=100")+read("id=b&close=1")+tt.request)
+			// The second response ends the connection, unless the server has read the third request by then.
+			_, _ = io.WriteString(c, read("id=a&wait=200")+read("id=b&close=1")+tt.request)
 			got, err := responses(c, 3)
-			if strings.Join(got, "|") != "200 a|200 b" || err == nil {
-				t.Errorf("got %q, %v; want two responses and the end of the connection", got, err)
+			if len(got) != 3 {
+				t.Errorf("sent at once: got %q, %v; want three responses", got, err)
 			}
+			c = s.dial()
+			_, _ = io.WriteString(c, read("id=a&wait=200")+read("id=b&close=1"))
 			time.Sleep(100 * time.Millisecond)
-			if n := s.started.Load(); n != 2 {
-				t.Errorf("%d requests ran, want the 2 that got a response", n)
+			size := s.read.Load()
+			_, _ = io.WriteString(c, tt.request)
+			got, err = responses(c, 3)
+			if strings.Join(got, "|") != "200 a|200 b" || err == nil {
+				t.Errorf("sent later: got %q, %v; want two responses and the end of the connection", got, err)
+			}
+			if n := s.started.Load(); n != 5 {
+				t.Errorf("%d requests ran, want the 5 that got a response", n)
+			}
+			if n := s.read.Load() - size; n > 1 {
+				t.Errorf("%d bytes of a request without a response were read", n)
 			}
 		})
 	}
@@ -515,3 +554,40 @@
 		})
 	}
 }
+
+// TestUnreadRequestsCutResponse guards against a reset that overtakes the last response, for requests behind it that are not read.
+func TestUnreadRequestsCutResponse(t *testing.T) {
+	const size = 1 << 20
+	tests := []struct {
+		name string
+		// pause is the time between the first request and those behind it.
+		pause time.Duration
+	}{
+		{"sent at once", 0},
+		{"sent after the response", 100 * time.Millisecond},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			s := startServer(t)
+			c := s.dial()
+			_, _ = io.WriteString(c, "POST /?id=a&close=1&size="+fmt.Sprint(size)+" HTTP/1.1\r\nHost: a\r\nContent-Length: 0\r\n\r\n")
+			time.Sleep(tt.pause)
+			_, _ = io.WriteString(c, strings.Repeat("POST /?id=b HTTP/1.1\r\nHost: a\r\nContent-Length: 0\r\n\r\n", 2*maxBuffered/50))
+			time.Sleep(200 * time.Millisecond)
+			got, err := responses(slowConn{c}, 2)
+			if len(got) != 1 || len(got[0]) != len("200 a")+size {
+				t.Errorf("got %.100q, %v; want one response of %d bytes", got, err, size)
+			}
+		})
+	}
+}
+
+// slowConn reads slower than the other end writes.
+type slowConn struct {
+	net.Conn
+}
+
+func (c slowConn) Read(p []byte) (int, error) {
+	time.Sleep(time.Millisecond)
+	return c.Conn.Read(p)
+}
--- a/internal/pipeliner/reset.go
+++ b/internal/pipeliner/reset.go
@@ -20,7 +20,11 @@
 	if !ok {
 		return func() {}
 	}
+	t.pipe.setResets(true)
 	// An error means that the connection is closed already.
 	_ = tcp.SetLinger(resetOnClose)
-	return func() { _ = tcp.SetLinger(endOnClose) }
+	return func() {
+		_ = tcp.SetLinger(endOnClose)
+		t.pipe.setResets(false)
+	}
 }
