--- a/internal/dialer/pipelined_stop_test.go
+++ b/internal/dialer/pipelined_stop_test.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"context"
+	"errors"
 	"fmt"
 	"io"
 	"net"
@@ -111,3 +112,32 @@
 		})
 	}
 }
+
+// TestOpenConnectionHoldsUpShutdown guards against a shutdown that waits for a caller who keeps its connection open, or resets it at
+// once.
+func TestOpenConnectionHoldsUpShutdown(t *testing.T) {
+	srv := serveCallers(t, func(w http.ResponseWriter, _ *http.Request) { _, _ = io.WriteString(w, "ok") })
+	c, err := net.Dial("tcp", srv.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = c.Close() }()
+	_ = c.SetDeadline(time.Now().Add(10 * time.Second))
+	_, _ = io.WriteString(c, "GET / HTTP/1.1\r\nHost: a\r\n\r\n")
+	br := bufio.NewReader(c)
+	resp, err := http.ReadResponse(br, nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if _, err := io.ReadAll(resp.Body); err != nil {
+		t.Fatal(err)
+	}
+	ctx, cancel := context.WithTimeout(t.Context(), 5*time.Second)
+	defer cancel()
+	if err := srv.Shutdown(ctx); err != nil || ctx.Err() != nil {
+		t.Errorf("shutdown: %v, %v", err, ctx.Err())
+	}
+	if _, err := br.ReadByte(); !errors.Is(err, io.EOF) {
+		t.Errorf("the connection ends with %v, want EOF", err)
+	}
+}
