Give each fleet of the memory tests a loopback address of its own

A fleet of package memorytester sometimes never started: "bind: address already in use" in the log of a node. The test chose free addresses and closed them again, so that the system could give one to another process, or twice, before the process listened on it.

The logs of control hosts are printed as well when a condition isn't met.

--- a/internal/memorytester/fleet_test.go
+++ b/internal/memorytester/fleet_test.go
@@ -5,8 +5,10 @@
 	"bytes"
 	"fmt"
 	"io"
+	"math/rand/v2"
 	"net"
 	"net/http"
+	"net/netip"
 	"os"
 	"path/filepath"
 	"runtime"
@@ -84,6 +86,7 @@
 	folder    string
 	control   string
 	nodes     []*node
+	logs      []string
 	requestID int
 }
 
@@ -102,16 +105,19 @@
 	if runtime.GOOS != "linux" {
 		t.Fatal("these tests read /proc: run them on Linux")
 	}
-	f := &fleet{t: t, limits: l, folder: t.TempDir(), control: freeAddress(t)}
-	f.start("control", fmt.Sprintf(`{"trustedNetwork":true,"control":{"name":"core-0","failureDomain":"d1","address":%q,"dataFolder":%q,`+
+	f := &fleet{t: t, limits: l, folder: t.TempDir()}
+	host := randomLoopback()
+	control, nodes := reserve(t, host, 1), []*reservation{reserve(t, host, 4), reserve(t, host, 4)}
+	f.control = control.addresses[0]
+	f.start(control, "control", fmt.Sprintf(`{"trustedNetwork":true,"control":{"name":"core-0","failureDomain":"d1","address":%q,"dataFolder":%q,`+
 		`"seeds":[%q],"firstStart":true,"face":"platform"}}`, f.control, filepath.Join(f.folder, "data"), f.control), 0)
-	for i := range 2 {
-		n := &node{caller: freeAddress(t), announce: freeAddress(t), upstream: startUpstream(t, fmt.Sprintf("i-%d", i))}
+	for i, r := range nodes {
+		n := &node{caller: r.addresses[0], announce: r.addresses[1], upstream: startUpstream(t, fmt.Sprintf("i-%d", i))}
 		name := fmt.Sprintf("side-%d", i)
-		started := f.start(name, fmt.Sprintf(`{"trustedNetwork":true,"limits":{"memoryMb":%d},"node":{"name":%q,"failureDomain":"d1",`+
+		started := f.start(r, name, fmt.Sprintf(`{"trustedNetwork":true,"limits":{"memoryMb":%d},"node":{"name":%q,"failureDomain":"d1",`+
 			`"region":"r1","callerAddress":%q,"peerAddress":%q,"announceAddress":%q,"readyAddress":%q,"controlAddresses":[%q],`+
 			`"callerMemoryBytes":%d,"service":"svc%d","heartbeatInterval":"60s","face":"platform","upstreamAddress":%q}}`, l.memoryMB, name,
-			n.caller, freeAddress(t), n.announce, freeAddress(t), f.control, l.callerMemory, i, n.upstream.address()), l.descriptors)
+			n.caller, r.addresses[2], n.announce, r.addresses[3], f.control, l.callerMemory, i, n.upstream.address()), l.descriptors)
 		n.process, n.log, n.exited = started.process, started.log, started.exited
 		f.nodes = append(f.nodes, n)
 	}
@@ -123,8 +129,8 @@
 	return f
 }
 
-// start starts the binary with settings. A limit on file descriptors that is not zero holds for that process only.
-func (f *fleet) start(name, settings string, descriptors int) *node {
+// start starts the binary with settings that use the reserved addresses. A limit on file descriptors that is not zero holds for that process only.
+func (f *fleet) start(r *reservation, name, settings string, descriptors int) *node {
 	f.t.Helper()
 	file := filepath.Join(f.folder, name+".jsonc")
 	if err := os.WriteFile(file, []byte(settings), 0o600); err != nil {
@@ -139,6 +145,8 @@
 	if descriptors > 0 {
 		command = fmt.Sprintf("ulimit -n %d; %s", descriptors, command)
 	}
+	f.logs = append(f.logs, log.Name())
+	r.release()
 	p, err := os.StartProcess("/bin/sh", []string{"sh", "-c", command, binary, file}, &os.ProcAttr{Files: []*os.File{nil, log, log}})
 	if err != nil {
 		f.t.Fatal(err)
@@ -218,7 +226,7 @@
 	for i, n := range f.nodes {
 		select {
 		case <-n.exited:
-			f.t.Errorf("node %d has ended:\n%s", i, n.lastLines())
+			f.t.Errorf("node %d has ended:\n%s", i, lastLines(n.log))
 			continue
 		default:
 		}
@@ -263,8 +271,8 @@
 	return 0
 }
 
-func (n *node) lastLines() string {
-	text, _ := os.ReadFile(n.log)
+func lastLines(file string) string {
+	text, _ := os.ReadFile(file)
 	return string(text[max(0, len(text)-2000):])
 }
 
@@ -274,22 +282,44 @@
 	for began := time.Now(); !condition(); time.Sleep(50 * time.Millisecond) {
 		f.observe()
 		if time.Since(began) > 30*time.Second {
-			for _, n := range f.nodes {
-				f.t.Logf("log:\n%s", n.lastLines())
+			for _, file := range f.logs {
+				f.t.Logf("%s:\n%s", filepath.Base(file), lastLines(file))
 			}
 			f.t.Fatalf("not within 30 s: %s", what)
 		}
 	}
 }
 
-func freeAddress(t *testing.T) string {
+// randomLoopback returns a loopback address that other processes do not use. On 127.0.0.1 they could take a port between its reservation
+// and the start of the process that listens on it.
+func randomLoopback() netip.Addr {
+	return netip.AddrFrom4([4]byte{127, byte(1 + rand.IntN(254)), byte(rand.IntN(256)), byte(1 + rand.IntN(254))})
+}
+
+// reservation holds addresses until the process that listens on them starts, so that none is given twice.
+type reservation struct {
+	addresses []string
+	listeners []net.Listener
+}
+
+func reserve(t *testing.T, host netip.Addr, n int) *reservation {
 	t.Helper()
-	ln, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
+	r := &reservation{}
+	for range n {
+		ln, err := net.Listen("tcp", netip.AddrPortFrom(host, 0).String())
+		if err != nil {
+			t.Fatal(err)
+		}
+		r.addresses = append(r.addresses, ln.Addr().String())
+		r.listeners = append(r.listeners, ln)
+	}
+	return r
+}
+
+func (r *reservation) release() {
+	for _, ln := range r.listeners {
+		_ = ln.Close()
 	}
-	defer func() { _ = ln.Close() }()
-	return ln.Addr().String()
 }
 
 // upstream answers requests after reading their bodies. Requests below /one/large get a response of largeResponse bytes, those
