--- a/internal/memorytester/fleet_test.go
+++ b/internal/memorytester/fleet_test.go
@@ -109,8 +109,8 @@
 	host := randomLoopback()
 	control, nodes := reserve(t, host, 1), []*reservation{reserve(t, host, 4), reserve(t, host, 4)}
 	f.control = control.addresses[0]
-	f.start(control, "control", fmt.Sprintf(`{"trustedNetwork":true,"control":{"name":"core-0","failureDomain":"d1","address":%q,"dataFolder":%q,`+
-		`"seeds":[%q],"firstStart":true,"face":"platform"}}`, f.control, filepath.Join(f.folder, "data"), f.control), 0)
+	f.start(control, "control", fmt.Sprintf(`{"trustedNetwork":true,"control":{"name":"core-0","failureDomain":"d1","address":%q,`+
+		`"dataFolder":%q,"seeds":[%q],"firstStart":true,"face":"platform"}}`, f.control, filepath.Join(f.folder, "data"), f.control), 0)
 	for i, r := range nodes {
 		n := &node{caller: r.addresses[0], announce: r.addresses[1], upstream: startUpstream(t, fmt.Sprintf("i-%d", i))}
 		name := fmt.Sprintf("side-%d", i)
@@ -129,7 +129,8 @@
 	return f
 }
 
-// start starts the binary with settings that use the reserved addresses. A limit on file descriptors that is not zero holds for that process only.
+// start starts the binary with settings that use the reserved addresses. A limit on file descriptors that is not zero holds for that
+// process only.
 func (f *fleet) start(r *reservation, name, settings string, descriptors int) *node {
 	f.t.Helper()
 	file := filepath.Join(f.folder, name+".jsonc")
