Let connections of HTTP/2 and those whose caller has left close at once

Requests with chunks that are read behind others count as read until they are complete, so that a shutdown doesn't drop them between the read and their handler.

--- a/internal/pipeliner/conn.go
+++ b/internal/pipeliner/conn.go
@@ -183,6 +183,7 @@
 	}
 	c.wait.isMultiplexed.Store(h.isHTTP2)
 	if c.inProgress() > 0 {
+		// The server may still drop this request, so it counts as read ahead until its handler runs.
 		c.setAhead(true, true)
 	}
 	order, ok := uint64(0), false
@@ -200,13 +201,12 @@
 	c.order.Store(order)
 	switch h.body {
 	case openBody:
-		c.setAhead(false, false)
+		c.setAhead(false, c.headAhead)
 		c.plain.Store(true)
 		return used, nil
 	case sizedBody:
 		c.bodyLeft = h.length
 	}
-	// The head of this request counts as read ahead until its handler runs.
 	behind := c.buffer[min(int64(len(c.buffer)), c.bodyLeft):]
 	c.setAhead(len(behind) > 0, c.headAhead || hasHead(behind))
 	c.serving.Store(true)
@@ -298,7 +298,11 @@
 
 // completeRequest ends the request that the server has served on this connection.
 func (c *conn) completeRequest() {
-	if !c.plain.Load() && c.serving.CompareAndSwap(true, false) {
+	if c.plain.Load() {
+		c.setAhead(false, false)
+		return
+	}
+	if c.serving.CompareAndSwap(true, false) {
 		c.markProgress()
 		c.setAhead(len(c.buffer) > 0, hasHead(c.buffer))
 		c.finish(c.order.Load(), false)
--- a/internal/pipeliner/linger.go
+++ b/internal/pipeliner/linger.go
@@ -12,20 +12,24 @@
 // their caller may repeat what the server has not read.
 func (c *conn) linger() {
 	c.awaitClosed()
-	end := c.listener.timer.Now().Add(lingerTime)
-	// While it waits here, the connection can make room for others.
-	c.wait.state.CompareAndSwap(busy, waiting)
-	if len(c.buffer) > 0 || c.hasNext(end) {
-		_ = c.listener.timer.Sleep(context.Background(), end.Sub(c.listener.timer.Now()))
+	// HTTP/2 has an end of its own, which the server follows.
+	if !c.wait.isMultiplexed.Load() {
+		end := c.listener.timer.Now().Add(lingerTime)
+		// While it waits here, the connection can make room for others.
+		c.wait.state.CompareAndSwap(busy, waiting)
+		if c.Conn.SetReadDeadline(end) == nil && c.hasNext() {
+			_ = c.listener.timer.Sleep(context.Background(), end.Sub(c.listener.timer.Now()))
+		}
 	}
 	// The connection is given up, so an error from Close makes no difference.
 	_ = c.Conn.Close()
 }
 
-// hasNext reports whether the caller sends a further byte before a moment. It returns false as soon as the caller closes the connection.
-func (c *conn) hasNext(end time.Time) bool {
-	if c.Conn.SetReadDeadline(end) != nil {
-		return false
+// hasNext reports whether the caller has sent bytes that are not served. Without any it waits for the first one, or for the end of the
+// connection or the read deadline.
+func (c *conn) hasNext() bool {
+	if len(c.buffer) > 0 {
+		return true
 	}
 	n, _ := c.Conn.Read(c.first[:])
 	return n > 0
--- a/internal/pipeliner/pipe.go
+++ b/internal/pipeliner/pipe.go
@@ -44,7 +44,7 @@
 	// request that was read so begins. Only the reader sets them.
 	ahead     bool
 	headAhead bool
-	// pipelined is set while responses to several requests are owed.
+	// pipelined is set while responses to several requests are owed, or to one that is only read.
 	pipelined bool
 	// resets is set while the connection ends with a reset.
 	resets bool
--- a/internal/pipeliner/pipeliner.go
+++ b/internal/pipeliner/pipeliner.go
@@ -52,7 +52,7 @@
 	totalHeld atomic.Int64
 	// stopped ends the reading ahead.
 	stopped atomic.Bool
-	// pipelined is the number of connections that owe responses to several requests.
+	// pipelined is the number of connections that owe responses to several requests, or have read one that has not started.
 	pipelined atomic.Int64
 	// cut is the number of requests whose connection closed after the response to a request before them.
 	cut atomic.Int64
@@ -170,9 +170,9 @@
 // pollInterval is how often AwaitPipelines and AwaitClosed count the connections.
 const pollInterval = 10 * time.Millisecond
 
-// AwaitPipelines stops the reading ahead and waits until no connection owes responses to several requests. It must be called before
-// the server's Shutdown, which makes net/http close each connection after its current response. It returns the context's error if
-// the context ends first.
+// AwaitPipelines stops the reading ahead and waits until no connection owes responses to several requests, or has read one that has not
+// started. It must be called before the server's Shutdown, which makes net/http close each connection after its current response. It
+// returns the context's error if the context ends first.
 func (l *Listener) AwaitPipelines(ctx context.Context) error {
 	l.StopBranches()
 	for l.pipelined.Load() > 0 {
