--- a/internal/pipeliner/conn.go
+++ b/internal/pipeliner/conn.go
@@ -207,6 +207,7 @@
 	case sizedBody:
 		c.bodyLeft = h.length
 	}
+	// The rest of the body, if it has been read, comes before the next request.
 	behind := c.buffer[min(int64(len(c.buffer)), c.bodyLeft):]
 	c.setAhead(len(behind) > 0, c.headAhead || hasHead(behind))
 	c.serving.Store(true)
--- a/internal/pipeliner/pipe.go
+++ b/internal/pipeliner/pipe.go
@@ -40,8 +40,9 @@
 	ended      bool
 	closeAtEnd bool
 	closed     bool
-	// ahead is set while bytes behind the last request that began have been read, and headAhead while they hold a whole head or a
-	// request that was read so begins. Only the reader sets them.
+	// ahead is set while bytes behind the last request that began have been read. headAhead is set while they hold a whole head, and
+	// until the handler of a request that was read ahead runs. Only reads and the server's goroutine of the connection set them, which
+	// exclude each other.
 	ahead     bool
 	headAhead bool
 	// pipelined is set while responses to several requests are owed, or to one that is only read.
@@ -127,8 +128,8 @@
 	p.pipelined = pipelined
 }
 
-// mayReadAhead reports whether more may be read behind the last request that began, of which some bytes have been read. A request that
-// is read whole should be served, so nothing is read once the connection or the reading ahead has ended.
+// mayReadAhead reports whether the reader may read on behind the last request that began. It must not once the connection or the reading
+// ahead has ended: a request that is read whole should be served.
 func (p *pipe) mayReadAhead() bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
