--- a/internal/pipeliner/conn.go
+++ b/internal/pipeliner/conn.go
@@ -128,10 +128,7 @@
 	if len(c.buffer) == 0 {
 		n, err := c.readWaiting(p)
 		if n == 0 {
-			if err != nil && !isTimeout(err) {
-				c.closeNow()
-			}
-			return 0, err
+			return 0, c.failRead(err)
 		}
 		used, done := c.head.scan(p[:n])
 		if used < n {
@@ -157,10 +154,7 @@
 func (c *conn) readFirst() error {
 	n, err := c.readWaiting(c.first[:])
 	if n == 0 {
-		if err != nil && !isTimeout(err) {
-			c.closeNow()
-		}
-		return err
+		return c.failRead(err)
 	}
 	c.buffer = append(c.buffer, c.first[0])
 	if !c.mayReadAhead() && !c.awaitTurns() {
@@ -169,6 +163,14 @@
 	return nil
 }
 
+// failRead closes the connection, unless a read failed at its deadline, and returns the error of the read.
+func (c *conn) failRead(err error) error {
+	if err != nil && !isTimeout(err) {
+		c.closeNow()
+	}
+	return err
+}
+
 // endHead starts the request whose head is complete. It returns the result of the read, which has no bytes if no request may start:
 // with the end of its head the server would serve it.
 func (c *conn) endHead(used int, done bool) (int, error) {
@@ -229,10 +231,7 @@
 			continue
 		}
 		if err != nil {
-			if !isTimeout(err) {
-				c.closeNow()
-			}
-			return err
+			return c.failRead(err)
 		}
 	}
 }
@@ -283,9 +282,6 @@
 
 // hasHead reports whether bytes hold a whole head.
 func hasHead(p []byte) bool {
-	if len(p) == 0 {
-		return false
-	}
 	var h head
 	_, done := h.scan(p)
 	return done
--- a/internal/pipeliner/pipeliner.go
+++ b/internal/pipeliner/pipeliner.go
@@ -167,7 +167,7 @@
 	l.stopped.Store(true)
 }
 
-// pollInterval is how often AwaitPipelines and AwaitClosed count the connections.
+// pollInterval is how often awaitNone reads a count.
 const pollInterval = 10 * time.Millisecond
 
 // AwaitPipelines stops the reading ahead and waits until no connection owes responses to several requests, or has read one that has not
@@ -175,18 +175,18 @@
 // returns the context's error if the context ends first.
 func (l *Listener) AwaitPipelines(ctx context.Context) error {
 	l.StopBranches()
-	for l.pipelined.Load() > 0 {
-		if err := l.timer.Sleep(ctx, pollInterval); err != nil {
-			return err
-		}
-	}
-	return nil
+	return l.awaitNone(ctx, &l.pipelined)
 }
 
 // AwaitClosed waits until all connections are closed. Those that the server has closed may still wait for their callers to read the last
 // response. It returns the context's error if the context ends first.
 func (l *Listener) AwaitClosed(ctx context.Context) error {
-	for l.open.Load() > 0 {
+	return l.awaitNone(ctx, &l.open)
+}
+
+// awaitNone waits until a count of connections is zero.
+func (l *Listener) awaitNone(ctx context.Context, count *atomic.Int64) error {
+	for count.Load() > 0 {
 		if err := l.timer.Sleep(ctx, pollInterval); err != nil {
 			return err
 		}
