--- a/internal/pipeliner/cut_test.go
+++ b/internal/pipeliner/cut_test.go
@@ -3,14 +3,12 @@
 import (
 	"fmt"
 	"io"
-	"net"
 	"net/http"
 	"strings"
+	"sync"
 	"testing"
 	"time"
 
-	"gopkg.in/tomb.v2"
-
 	"github.com/lavenderhub/lavenderhub/internal/budgeter"
 	"github.com/lavenderhub/lavenderhub/internal/timer"
 )
@@ -39,30 +37,14 @@
 	}
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
-			inner, err := net.Listen("tcp", "127.0.0.1:0")
-			if err != nil {
-				t.Fatal(err)
-			}
-			var group tomb.Tomb
-			s := &server{t: t, addr: inner.Addr().String()}
-			s.listener = Listen(&group, inner, timer.New(), WithLimits(budgeter.New(timer.New(), 128<<10), 4))
-			s.http = &http.Server{
-				Handler: s, ConnState: s.listener.ConnState, ConnContext: s.listener.ConnContext, ReadHeaderTimeout: limit,
-				IdleTimeout: limit, MaxHeaderBytes: 64 << 10,
-			}
-			group.Go(func() error {
-				_ = s.http.Serve(s.listener)
-				return nil
-			})
-			t.Cleanup(func() {
-				_ = s.http.Close()
-				_ = group.Wait()
-			})
+			s := startServerWith(t, &http.Server{ReadHeaderTimeout: limit, IdleTimeout: limit, MaxHeaderBytes: 64 << 10},
+				WithLimits(budgeter.New(timer.New(), 128<<10), 4))
 			c := s.dial()
 			_ = c.SetDeadline(time.Now().Add(20 * limit))
-			group.Go(func() error {
+			var group sync.WaitGroup
+			defer group.Wait()
+			group.Go(func() {
 				_, _ = io.WriteString(c, read("id=a&wait=20")+read(fmt.Sprint("id=b&wait=", 5*limit.Milliseconds()))+tt.behind)
-				return nil
 			})
 			for s.started.Load() < 2 {
 				time.Sleep(time.Millisecond)
--- a/internal/pipeliner/pipeliner_test.go
+++ b/internal/pipeliner/pipeliner_test.go
@@ -62,21 +62,27 @@
 }
 
 func startServer(t *testing.T) *server {
+	t.Helper()
+	return startServerWith(t, &http.Server{ReadHeaderTimeout: 5 * time.Second})
+}
+
+// startServerWith serves callers with the timeouts and limits of an HTTP server.
+func startServerWith(t *testing.T, srv *http.Server, opts ...Option) *server {
 	t.Helper()
 	inner, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
 	}
 	var group tomb.Tomb
-	s := &server{t: t, addr: inner.Addr().String()}
-	s.listener = Listen(&group, countingListener{inner, &s.read}, timer.New())
-	s.http = &http.Server{Handler: s, ConnState: s.listener.ConnState, ConnContext: s.listener.ConnContext, ReadHeaderTimeout: 5 * time.Second}
+	s := &server{t: t, http: srv, addr: inner.Addr().String()}
+	s.listener = Listen(&group, countingListener{inner, &s.read}, timer.New(), opts...)
+	srv.Handler, srv.ConnState, srv.ConnContext = s, s.listener.ConnState, s.listener.ConnContext
 	group.Go(func() error {
-		_ = s.http.Serve(s.listener)
+		_ = srv.Serve(s.listener)
 		return nil
 	})
 	t.Cleanup(func() {
-		_ = s.http.Close()
+		_ = srv.Close()
 		_ = group.Wait()
 	})
 	return s
--- a/internal/runner/pipelined_stop_test.go
+++ b/internal/runner/pipelined_stop_test.go
@@ -15,6 +15,12 @@
 	"time"
 )
 
+// waitingRead returns a request of the platform to which an upstream responds after a time.
+func waitingRead(id string, wait, deadline time.Duration) string {
+	return fmt.Sprintf("GET /one/open/wait-%d HTTP/1.1\r\nHost: a.example\r\nX-Attempt-Id: %s\r\nX-Deadline-Ms: %d\r\n\r\n",
+		wait.Milliseconds(), id, deadline.Milliseconds())
+}
+
 // pipelinedResults sends the requests on one connection and returns the responses. Each is the body of a 200, or what came instead.
 func pipelinedResults(t *testing.T, addr netip.AddrPort, requests []string) []string {
 	c, err := net.Dial("tcp", addr.String())
@@ -69,8 +75,7 @@
 		for i := range results {
 			group.Go(func() {
 				request := func(wait time.Duration) string {
-					return fmt.Sprintf("GET /one/open/wait-%d HTTP/1.1\r\nHost: a.example\r\nX-Attempt-Id: piped-%d-%d\r\nX-Deadline-Ms: 5000\r\n\r\n",
-						wait.Milliseconds(), i, wait.Milliseconds())
+					return waitingRead(fmt.Sprintf("piped-%d-%d", i, wait.Milliseconds()), wait, 5*time.Second)
 				}
 				results[i] = pipelinedResults(t, f.nodes[0].node.CallerAddr(), []string{request(first), request(second)})
 			})
@@ -129,8 +134,7 @@
 	group.Go(func() {
 		defer cancel()
 		request := func(wait time.Duration) string {
-			return fmt.Sprintf("GET /one/open/wait-%d HTTP/1.1\r\nHost: a.example\r\nX-Attempt-Id: far-%d\r\nX-Deadline-Ms: 5000\r\n\r\n",
-				wait.Milliseconds(), wait.Milliseconds())
+			return waitingRead(fmt.Sprint("far-", wait.Milliseconds()), wait, 5*time.Second)
 		}
 		got = pipelinedResults(t, f.nodes[0].node.CallerAddr(), []string{request(first), request(second)})
 	})
@@ -161,8 +165,7 @@
 	for i, node := range nodes {
 		group.Go(func() {
 			request := func(wait time.Duration) string {
-				return fmt.Sprintf("GET /one/open/wait-%d HTTP/1.1\r\nHost: a.example\r\nX-Attempt-Id: %s\r\nX-Deadline-Ms: 8000\r\n\r\n",
-					wait.Milliseconds(), id(node, wait))
+				return waitingRead(id(node, wait), wait, 8*time.Second)
 			}
 			results[i] = pipelinedResults(t, f.nodes[node].node.CallerAddr(), []string{request(first), request(second)})
 		})
