Report congestion from all gates, and bound the wait of calls in progress

Cause: entry nodes shed by the room of services further down only where gates report congestion, and gates did so only once an upstream of the fleet had reported a slowdown of its host. Elsewhere calls in progress waited at the full gate to their last moment, oldest first. Each of the four calls of a tree took all of the time that was left, so nearly all trees failed after the bottom service had worked for them, and the entries admitted more.

Ruled out: callers' retries alone. In the model below they are bounded, and the fault lasts while the load is above what is left.

Change: gates report their congestion and bound the wait of calls in progress unless adaptiveControl is off. The other adaptive decisions depend on slowdown reports as before.

--- a/internal/admitter/congestion_meter_test.go
+++ b/internal/admitter/congestion_meter_test.go
@@ -9,7 +9,7 @@
 )
 
 // TestCongestionOfFullGate guards against a full gate that reports no congestion, a report that outlives its cause, and
-// reports of gates that are not adaptive.
+// reports of gates that are told to send none.
 func TestCongestionOfFullGate(t *testing.T) {
 	tests := []struct {
 		name string
@@ -21,7 +21,8 @@
 		{"long wait", AdaptiveOn, 280 * time.Millisecond, 0.5},
 		{"short wait", AdaptiveOn, 200 * time.Millisecond, 0},
 		{"not finished by the deadline", AdaptiveOn, 2 * time.Second, 1},
-		{"not adaptive", AdaptiveOff, 280 * time.Millisecond, 0},
+		{"upstream without slowdown reports", AdaptiveAuto, 280 * time.Millisecond, 0.5},
+		{"off", AdaptiveOff, 280 * time.Millisecond, 0},
 	}
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
--- a/internal/admitter/gate.go
+++ b/internal/admitter/gate.go
@@ -21,8 +21,8 @@
 	queueFactor = 2
 	// maxInProgressWait is the time that a call in progress may wait for a slot.
 	maxInProgressWait = 2 * time.Second
-	// inProgressWaitShare is the share of the time to its deadline that such a call may wait at an adaptive gate. Calls that
-	// wait longer use slots for requests above that mostly run out of time later.
+	// inProgressWaitShare is the share of the time to its deadline that such a call may wait. Calls that wait longer use slots
+	// for requests above that mostly run out of time later.
 	inProgressWaitShare = 0.3
 	// refusalTime allows for the way of a refusal back to the caller before the request's deadline.
 	refusalTime = 25 * time.Millisecond
@@ -233,7 +233,7 @@
 	g.sequence++
 	w := &waiter{
 		req: req, sequence: g.sequence, decision: make(chan Decision, 1), fifo: g.fifo, enqueuedAt: now, lastStart: g.lastStart(req),
-		byDeadline: req.Rank == InProgress && g.isAdaptive(),
+		byDeadline: req.Rank == InProgress && g.reportsCongestion(),
 	}
 	heap.Push(&g.queue, w)
 	g.limit.busy = true
@@ -243,7 +243,7 @@
 // maxWait returns how long a request may wait for a slot. A service whose typical request is short may also have long
 // requests, which tolerate a longer wait. The work spent above a call in progress is lost if it is shed.
 func (g *Gate) maxWait(req Request, now time.Time) time.Duration {
-	if req.Rank == InProgress && g.isAdaptive() {
+	if req.Rank == InProgress && g.reportsCongestion() {
 		return min(maxInProgressWait, time.Duration(inProgressWaitShare*float64(req.Deadline.Sub(now))))
 	}
 	if req.Rank == InProgress {
@@ -437,7 +437,7 @@
 	// Mean is the mean request time.
 	Mean time.Duration
 	// Congestion is the share of calls in the last 0.2 s that were refused for lack of capacity or waited for long. It is
-	// zero if the gate is not adaptive.
+	// zero if AdaptiveOff is set.
 	Congestion float64
 	Estimate
 	// ColdLeft is how much longer the upstream counts as cold.
@@ -452,7 +452,7 @@
 	g.endWindow(now)
 	load := float64(g.inflight+g.queue.Len()) / float64(g.limit.current())
 	report := Report{Level: g.level.current(now), Load: load, Mean: g.mean, Estimate: g.estimate(load, now), ColdLeft: g.coldLeft(now)}
-	if g.isAdaptive() {
+	if g.reportsCongestion() {
 		report.Congestion = g.congestion.value(now)
 	}
 	return report
--- a/internal/admitter/load_report.go
+++ b/internal/admitter/load_report.go
@@ -21,7 +21,7 @@
 	AdaptiveAuto AdaptiveMode = iota
 	// AdaptiveOn means always.
 	AdaptiveOn
-	// AdaptiveOff means never.
+	// AdaptiveOff means never, and that the gate does not report its congestion either.
 	AdaptiveOff
 )
 
@@ -63,6 +63,12 @@
 	}
 }
 
+// reportsCongestion reports whether the gate takes part in the control of requests whose calls lead to a full service. Unlike the
+// other adaptive decisions it needs nothing that only some upstreams report.
+func (g *Gate) reportsCongestion() bool {
+	return g.adaptive != AdaptiveOff
+}
+
 // ReportsSlowdown reports whether the upstream has reported a slowdown of its host.
 func (g *Gate) ReportsSlowdown() bool {
 	g.mu.Lock()
--- a/internal/admitter/queue.go
+++ b/internal/admitter/queue.go
@@ -16,8 +16,8 @@
 }
 
 // queue is a heap of waiters, ordered by rank from the highest and among equal ranks from the newest. Calls in progress
-// are ordered from the oldest, since each of them can still finish. At an adaptive gate those with the earliest deadline
-// come first: they belong to the requests on which the most work was spent.
+// are ordered from the oldest, since each of them can still finish. Unless AdaptiveOff is set, those with the earliest
+// deadline come first: they belong to the requests on which the most work was spent.
 type queue []*waiter
 
 func (q queue) Len() int { return len(q) }
--- a/internal/retrier/downstream_model_test.go
+++ b/internal/retrier/downstream_model_test.go
@@ -7,6 +7,7 @@
 	"math/rand/v2"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -30,6 +31,7 @@
 	modelOwnTime    = 60 * time.Millisecond
 	modelTarget     = time.Second
 	modelTTL        = 3 * time.Second
+	modelRetryDelay = 500 * time.Millisecond
 	// The load lasts from the start of phase modelLoadStart to that of modelLoadEnd. At all other times it is 0.7.
 	modelPhase     = 500 * time.Millisecond
 	modelLoadStart = 2
@@ -77,21 +79,27 @@
 	limited bool
 	entries [modelEntries]*DownstreamLimiter
 	bottom  *modelService
+	// left is the number of nodes of the bottom service that have left.
+	left atomic.Int32
+	// retries is how often callers send a request again that was refused or failed, after retryDelay.
+	retries int
+	// ttl is the time to the deadline of a request.
+	ttl time.Duration
 	kinds   []modelKind
 	results map[modelKey]*modelResult
 }
 
-func newModel(limited bool, seed uint64) *model {
+func newModel(limited bool, seed uint64, mode admitter.AdaptiveMode) *model {
 	newService := func(name string, slots int) *modelService {
 		s := &modelService{name: name}
 		for i := range s.nodes {
-			s.nodes[i].gate = admitter.New(slots, timer.New(), nil, admitter.WithStaticLimit(), admitter.WithAdaptiveMode(admitter.AdaptiveOn))
+			s.nodes[i].gate = admitter.New(slots, timer.New(), nil, admitter.WithStaticLimit(), admitter.WithAdaptiveMode(mode))
 		}
 		return s
 	}
 	low := newService("low", modelSlotsAbove)
 	m := &model{
-		rng: rand.New(rand.NewPCG(seed, 2)), limited: limited, seed: seed, bottom: newService("bottom", modelSlots),
+		rng: rand.New(rand.NewPCG(seed, 2)), limited: limited, seed: seed, ttl: modelTTL, bottom: newService("bottom", modelSlots),
 		results: map[modelKey]*modelResult{},
 		kinds: []modelKind{
 			{name: "high", importance: 5, service: newService("high", modelSlotsAbove)},
@@ -120,7 +128,11 @@
 
 // pick returns the less loaded of two random nodes.
 func (m *model) pick(s *modelService) *modelNode {
-	a, b := &s.nodes[m.intN(modelNodes)], &s.nodes[m.intN(modelNodes)]
+	nodes := s.nodes[:]
+	if s == m.bottom {
+		nodes = nodes[m.left.Load():]
+	}
+	a, b := &nodes[m.intN(len(nodes))], &nodes[m.intN(len(nodes))]
 	if b.gate.Report().Load < a.gate.Report().Load {
 		return b
 	}
@@ -136,8 +148,19 @@
 	return own
 }
 
-// request sends one request and counts its result.
-func (m *model) request(phase int, k modelKind, account int) {
+// send sends a request and, as long as it fails and the caller retries, sends it again.
+func (m *model) send(phase int, k modelKind, account int) {
+	for range m.retries {
+		if m.request(phase, k, account) {
+			return
+		}
+		time.Sleep(modelRetryDelay)
+	}
+	m.request(phase, k, account)
+}
+
+// request sends one request, counts its result and reports whether it succeeded.
+func (m *model) request(phase int, k modelKind, account int) bool {
 	start := time.Now()
 	result := func(count func(*modelResult)) {
 		m.mu.Lock()
@@ -159,7 +182,7 @@
 	if m.limited {
 		if ok, _ := entry.Admit(route, uint32(rank), modelTarget, start); !ok {
 			result(func(r *modelResult) { r.refused++ })
-			return
+			return false
 		}
 	}
 	node := m.pick(k.service)
@@ -184,21 +207,22 @@
 			r.good++
 		}
 	})
+	return ok
 }
 
 // run runs a request at a node. It returns whether it succeeded, and whether it ran at all.
 func (m *model) run(k modelKind, n *modelNode, rank admitter.Rank) (ok, wasRun bool) {
 	start := time.Now()
-	ctx, cancel := context.WithDeadline(context.Background(), start.Add(modelTTL))
+	ctx, cancel := context.WithDeadline(context.Background(), start.Add(m.ttl))
 	defer cancel()
-	ticket, d := n.gate.Admit(ctx, admitter.Request{Rank: rank, Deadline: start.Add(modelTTL), MaxWait: modelTarget / 4})
+	ticket, d := n.gate.Admit(ctx, admitter.Request{Rank: rank, Deadline: start.Add(m.ttl), MaxWait: modelTarget / 4})
 	if d != admitter.Admitted {
 		return false, false
 	}
 	time.Sleep(modelOwnTime)
 	ok = m.float() >= n.errorShare
 	if !k.isShared && ok {
-		ok = m.runCalls(n, start.Add(modelTTL))
+		ok = m.runCalls(n, start.Add(m.ttl))
 	}
 	ticket.Done(admitter.Sample{Total: time.Since(start), Self: modelOwnTime})
 	return ok, true
@@ -248,7 +272,7 @@
 		for start := time.Now(); time.Since(start) < length; {
 			time.Sleep(time.Duration(arrivals.ExpFloat64() / rate * float64(time.Second)))
 			kind, account := m.kinds[arrivals.IntN(len(m.kinds))], max(0, arrivals.IntN(modelAccounts+1)-1)
-			group.Go(func() { m.request(phase, kind, account) })
+			group.Go(func() { m.send(phase, kind, account) })
 		}
 	}
 	group.Wait()
@@ -288,7 +312,7 @@
 			for seed := range uint64(seeds) {
 				for i, limited := range []bool{false, true} {
 					synctest.Test(t, func(t *testing.T) {
-						m := newModel(limited, seed)
+						m := newModel(limited, seed, admitter.AdaptiveOn)
 						shares := slices.Repeat([]float64{0.7}, modelEnd)
 						for phase := modelLoadStart; phase < modelLoadEnd; phase++ {
 							shares[phase] = tt.load
@@ -335,10 +359,37 @@
 	}
 }
 
+// TestLossOfBottomUpstreamsFailsTrees guards against a fleet that fails nearly all trees of calls, after work was spent on them,
+// once three of the four upstreams at the bottom have left. Callers send a failed request once more.
+func TestLossOfBottomUpstreamsFailsTrees(t *testing.T) {
+	const load, lossPhase, settledPhase = 0.7, 4, 8
+	// A quarter of the load must be served after a fault.
+	const minServed = 0.25 * load
+	for seed := range uint64(3) {
+		t.Run(fmt.Sprint(seed), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				m := newModel(true, seed, admitter.AdaptiveAuto)
+				m.retries, m.ttl = 1, modelTarget
+				time.AfterFunc(lossPhase*modelPhase, func() { m.left.Store(modelNodes - 1) })
+				m.play(slices.Repeat([]float64{load}, modelEnd), modelPhase)
+				high, low := m.total(settledPhase, modelEnd, "high", -1), m.total(settledPhase, modelEnd, "low", -1)
+				t.Logf("high %+v, low %+v", high, low)
+				want := minServed * modelCapacity * (modelEnd - settledPhase) * modelPhase.Seconds()
+				if got := high.good + low.good; float64(got) < want {
+					t.Errorf("%d trees in time, want %.0f", got, want)
+				}
+				if high.goodShare() < low.goodShare() {
+					t.Errorf("important requests %+v, others %+v, want at least the same share", high, low)
+				}
+			})
+		})
+	}
+}
+
 // TestErrorsWithoutCongestion guards against refusals because of a faulty upstream.
 func TestErrorsWithoutCongestion(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		m := newModel(true, 1)
+		m := newModel(true, 1, admitter.AdaptiveOn)
 		m.kinds[1].service.nodes[0].errorShare = 0.32
 		m.play([]float64{0.7, 0.7, 0.7, 0.7}, time.Second)
 		all := m.total(0, 4, "", -1)
