Keep a minimum for direct requests of a service that calls fill

Cause: a gate admits calls of requests in progress before all others, and its level for the others is what these calls leave. Entry nodes keep a quarter of the share of each class, whatever its rank, but only for requests that lead to the full service through calls.

Ruled out: the whole share for direct requests too.

Change: while requests of other services that lead to a full service are refused, a quarter of the share of its direct requests gets a rank that no level sheds and that does not wait behind calls in progress.

TestDirectRequestsOfFullBottomServiceStarve, without a network: direct requests in time 0.000 to 0.016 of those sent before, 0.11 to 0.125 after; trees 0.32; want a quarter of that.

--- a/internal/admitter/gate.go
+++ b/internal/admitter/gate.go
@@ -370,11 +370,11 @@
 		return
 	}
 	top := g.queue[0].req.Rank
-	detail := ""
-	if top > w.req.Rank {
+	detail, isOrdered := "", top.precedence() <= w.req.Rank.precedence()
+	if !isOrdered {
 		detail = fmt.Sprintf("admitted %d while %d waits", w.req.Rank, top)
 	}
-	g.assert.Check(asserter.ImportantShedLast, top <= w.req.Rank, detail)
+	g.assert.Check(asserter.ImportantShedLast, isOrdered, detail)
 }
 
 // endWindow updates the level and the limit if the current window has elapsed.
--- a/internal/admitter/level.go
+++ b/internal/admitter/level.go
@@ -41,10 +41,10 @@
 	step      float64
 	stepsDown int
 	arrived   int
-	// inProgress is the number of calls in progress that arrived in the current window.
-	inProgress int
-	sample     [sampleSize]Rank
-	lastSeen   [classCount]time.Time
+	// decided is the number of requests that arrived in the current window and that their entry nodes have admitted.
+	decided  int
+	sample   [sampleSize]Rank
+	lastSeen [classCount]time.Time
 
 	shedAt   [classCount]time.Time
 	lastShed time.Time
@@ -55,10 +55,10 @@
 	return max(l.value, l.shedFloor(now))
 }
 
-// recordShed records that a request was shed. A call in progress is shed only because its time ran out, which says nothing
-// about lower classes.
+// recordShed records that a request was shed. A request that its entry node has admitted is shed only because its time ran out,
+// which says nothing about lower classes.
 func (l *level) recordShed(r Rank, now time.Time) {
-	if r == InProgress {
+	if r.isDecided() {
 		return
 	}
 	l.shedAt[r.class()%classCount] = now
@@ -81,8 +81,8 @@
 
 // recordArrival counts a request that arrived in the current window.
 func (l *level) recordArrival(r Rank, now time.Time) {
-	if r == InProgress {
-		l.inProgress++
+	if r.isDecided() {
+		l.decided++
 		return
 	}
 	l.sample[l.arrived%sampleSize] = r
@@ -110,7 +110,7 @@
 	case p == relaxed && l.value > 0:
 		l.lower(now)
 	}
-	l.arrived, l.inProgress = 0, 0
+	l.arrived, l.decided = 0, 0
 }
 
 func (l *level) raise(capacity float64) {
@@ -120,7 +120,7 @@
 	}
 	ranks := slices.Clone(l.sample[:min(l.arrived, sampleSize)])
 	slices.Sort(ranks)
-	admitShare := max(0, capacity*headroom-float64(l.inProgress)) / float64(l.arrived)
+	admitShare := max(0, capacity*headroom-float64(l.decided)) / float64(l.arrived)
 	if admitShare >= 1 {
 		return
 	}
--- a/internal/admitter/queue.go
+++ b/internal/admitter/queue.go
@@ -31,7 +31,7 @@
 		return a.sequence < b.sequence
 	}
 	if a.req.Rank != b.req.Rank {
-		return a.req.Rank > b.req.Rank
+		return a.req.Rank.precedence() > b.req.Rank.precedence()
 	}
 	return a.sequence > b.sequence
 }
--- a/internal/admitter/rank.go
+++ b/internal/admitter/rank.go
@@ -19,6 +19,11 @@
 // its entry, so no admission level sheds the call. It waits for a slot as long as its deadline allows.
 const InProgress Rank = math.MaxUint32
 
+// Minimum is the rank of a request that belongs to the minimum which a service keeps for those that reach it directly while calls in
+// progress fill it. Entry nodes bound the number of such requests. No admission level sheds them, and they don't wait behind calls in
+// progress.
+const Minimum Rank = math.MaxUint32 - 1
+
 const (
 	// priorityBits is the number of bits of the account's priority within the effective priority.
 	priorityBits = 4
@@ -40,6 +45,19 @@
 	return Rank((importance<<priorityBits|priority)<<classBits | low)
 }
 
+// precedence orders ranks at a gate: the higher one goes first.
+func (r Rank) precedence() uint64 {
+	if r == Minimum {
+		return math.MaxUint64
+	}
+	return uint64(r)
+}
+
+// isDecided reports whether the entry node has decided that the request is admitted.
+func (r Rank) isDecided() bool {
+	return r >= Minimum
+}
+
 // class returns the effective priority of r.
 func (r Rank) class() int {
 	return int(r >> classBits)
--- a/internal/forwarder/downstream.go
+++ b/internal/forwarder/downstream.go
@@ -29,6 +29,16 @@
 	)
 }
 
+// keepMinimum gives a call that belongs to the minimum of its service the rank for that.
+func (f *Forwarder) keepMinimum(c *call) {
+	if f.overrides.NoEntryShedding || c.fromLocalUpstream || c.rank == admitter.InProgress {
+		return
+	}
+	if f.downstream.KeepsMinimum(c.routeName(), f.Timer.Now()) {
+		c.rank = admitter.Minimum
+	}
+}
+
 // refuseForDownstream refuses a call if a service to which the calls of its route lead has no capacity for it.
 func (f *Forwarder) refuseForDownstream(c *call) *refuser.Refusal {
 	if f.overrides.NoEntryShedding || c.fromLocalUpstream || c.rank == admitter.InProgress {
--- a/internal/forwarder/downstream_test.go
+++ b/internal/forwarder/downstream_test.go
@@ -127,3 +127,42 @@
 		})
 	}
 }
+
+// TestDirectRequestsKeepMinimum guards against requests that reach a service directly and are all shed while calls of requests in progress
+// fill it, and against a minimum of services that only their own requests fill.
+func TestDirectRequestsKeepMinimum(t *testing.T) {
+	tests := []struct {
+		name string
+		// filledBy is the service of the requests that are affected by the congestion of the called service.
+		filledBy string
+		want     bool
+	}{
+		{"calls of another service", "above", true},
+		{"own requests", "service", false},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			f := newTestForwarder()
+			for range 100 {
+				c := newTestCall(f)
+				c.route = &resolver.Route{Service: tt.filledBy, Name: "other", ObjectiveLatency: time.Second}
+				c.congestion = congestionReport{"service", 0.9, 0}.congestion(f.Timer.Now())
+				c.hasReport = true
+				f.recordRootResult(c, &response{status: http.StatusInternalServerError}, nil)
+			}
+			// The share is lowered at the end of its first interval.
+			time.Sleep(250 * time.Millisecond)
+			f.downstream.Admit(retrier.RouteName{Service: tt.filledBy, Name: "other"}, 0, time.Second, f.Timer.Now())
+			kept := 0
+			for range 200 {
+				c := newTestCall(f)
+				if f.keepMinimum(c); c.rank == admitter.Minimum {
+					kept++
+				}
+			}
+			if (kept > 0) != tt.want || kept > 100 {
+				t.Errorf("%d of 200 requests belong to the minimum", kept)
+			}
+		})
+	}
+}
--- a/internal/forwarder/root.go
+++ b/internal/forwarder/root.go
@@ -250,6 +250,7 @@
 	if ref := f.refuseOutlasting(c); ref != nil {
 		return nil, ref
 	}
+	f.keepMinimum(c)
 	if ref := f.shedEarly(c); ref != nil {
 		return nil, ref
 	}
--- a/internal/retrier/congested_service.go
+++ b/internal/retrier/congested_service.go
@@ -84,6 +84,16 @@
 	return r != nil && r.isDependent(now)
 }
 
+// isFilledByCalls reports whether requests of other services lead to the service.
+func (s *congestedService) isFilledByCalls(now time.Time) bool {
+	for i := range s.routes {
+		if r := &s.routes[i]; r.name.Service != s.name && r.isDependent(now) {
+			return true
+		}
+	}
+	return false
+}
+
 func (s *congestedService) find(name RouteName) *dependentRoute {
 	for i := range s.routes {
 		if s.routes[i].name == name {
@@ -211,7 +221,7 @@
 	s.decay(now)
 	s.arrived++
 	s.ranks.add(rank)
-	minimum := minMeanShare * s.share
+	minimum := s.minimum()
 	if s.share >= 1 || kept < minimum {
 		return true
 	}
@@ -219,6 +229,11 @@
 	return s.ranks.position(rank, draw) >= refused*float64(s.ranks.count())
 }
 
+// minimum returns the share of requests that is admitted whatever their rank.
+func (s *congestedService) minimum() float64 {
+	return minMeanShare * s.share
+}
+
 // lasted returns how long dependent requests have been refused.
 func (s *congestedService) lasted(now time.Time) time.Duration {
 	if !s.limited {
--- a/internal/retrier/downstream_limiter.go
+++ b/internal/retrier/downstream_limiter.go
@@ -131,6 +131,22 @@
 	return false, max(after, min(maxReturn, time.Duration(float64(lasted)*lastedShare)))
 }
 
+// KeepsMinimum reports whether a request belongs to the minimum that its service keeps for requests that reach it directly, while
+// calls of other services' requests fill it. The gate admits these calls before all other requests.
+func (l *DownstreamLimiter) KeepsMinimum(route RouteName, now time.Time) bool {
+	if l.tracked.Load() == 0 {
+		return false
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for _, s := range l.services {
+		if s.name == route.Service {
+			return s.share < 1 && s.isFilledByCalls(now) && l.draw() < s.minimum()
+		}
+	}
+	return false
+}
+
 // update changes the shares whose interval has ended, and forgets services that are free again.
 func (l *DownstreamLimiter) update(now time.Time) {
 	for _, s := range l.services {
--- a/internal/retrier/downstream_model_test.go
+++ b/internal/retrier/downstream_model_test.go
@@ -29,6 +29,7 @@
 	modelCallTTL    = 700 * time.Millisecond
 	modelCallTime   = 59 * time.Millisecond
 	modelOwnTime    = 60 * time.Millisecond
+	modelDirectTime = 500 * time.Millisecond
 	modelTarget     = time.Second
 	modelTTL        = 3 * time.Second
 	modelRetryDelay = 500 * time.Millisecond
@@ -45,7 +46,9 @@
 	name       string
 	importance uint32
 	isShared   bool
-	service    *modelService
+	// isDirect marks requests to the service at the bottom.
+	isDirect bool
+	service  *modelService
 }
 
 type modelService struct {
@@ -83,8 +86,10 @@
 	left atomic.Int32
 	// retries is how often callers send a request again that was refused or failed, after retryDelay.
 	retries int
+	// directRate is the number of requests of kind direct in a second.
+	directRate float64
 	// ttl is the time to the deadline of a request.
-	ttl time.Duration
+	ttl     time.Duration
 	kinds   []modelKind
 	results map[modelKey]*modelResult
 }
@@ -185,6 +190,9 @@
 			return false
 		}
 	}
+	if k.isDirect && entry.KeepsMinimum(route, start) {
+		rank = admitter.Minimum
+	}
 	node := m.pick(k.service)
 	ok, wasRun := m.run(k, node, rank)
 	now := time.Now()
@@ -219,6 +227,11 @@
 	if d != admitter.Admitted {
 		return false, false
 	}
+	if k.isDirect {
+		time.Sleep(modelDirectTime)
+		ticket.Done(admitter.Sample{Total: modelDirectTime, Self: modelDirectTime})
+		return true, true
+	}
 	time.Sleep(modelOwnTime)
 	ok = m.float() >= n.errorShare
 	if !k.isShared && ok {
@@ -266,6 +279,9 @@
 func (m *model) play(shares []float64, length time.Duration) {
 	var group sync.WaitGroup
 	arrivals := rand.New(rand.NewPCG(m.seed, 4))
+	if m.directRate > 0 {
+		group.Go(func() { m.playDirect(len(shares), length) })
+	}
 	for phase, share := range shares {
 		// Half of the trees are important, and there is one request of kind shared for each tree of its service.
 		rate := share * modelCapacity * 1.5
@@ -278,6 +294,19 @@
 	group.Wait()
 }
 
+// playDirect sends requests of kind direct.
+func (m *model) playDirect(phases int, length time.Duration) {
+	var group sync.WaitGroup
+	arrivals := rand.New(rand.NewPCG(m.seed, 5))
+	kind := modelKind{name: "direct", importance: 2, isDirect: true, service: m.bottom}
+	for start := time.Now(); time.Since(start) < time.Duration(phases)*length; {
+		time.Sleep(time.Duration(arrivals.ExpFloat64() / m.directRate * float64(time.Second)))
+		phase, account := int(time.Since(start)/length), max(0, arrivals.IntN(modelAccounts+1)-1)
+		group.Go(func() { m.send(phase, kind, account) })
+	}
+	group.Wait()
+}
+
 // total sums the results of phases, of a kind or of all if it is empty, and of an account or of all if it is negative.
 func (m *model) total(from, to int, kind string, account int) modelResult {
 	var sum modelResult
@@ -386,6 +415,29 @@
 	}
 }
 
+// TestDirectRequestsOfFullBottomServiceStarve guards against requests that reach the service at the bottom directly and get nothing,
+// since calls of requests in progress fill it.
+func TestDirectRequestsOfFullBottomServiceStarve(t *testing.T) {
+	const lossPhase, settledPhase, phases = 4, 8, 28
+	var direct, trees modelResult
+	for seed := range uint64(3) {
+		synctest.Test(t, func(t *testing.T) {
+			m := newModel(true, seed, admitter.AdaptiveAuto)
+			m.retries, m.ttl, m.directRate = 1, modelTarget, 20
+			time.AfterFunc(lossPhase*modelPhase, func() { m.left.Store(modelNodes - 2) })
+			m.play(slices.Repeat([]float64{0.8}, phases), modelPhase)
+			for kind, sum := range map[string]*modelResult{"direct": &direct, "high": &trees, "low": &trees} {
+				r := m.total(settledPhase, phases, kind, -1)
+				t.Logf("%s: %+v", kind, r)
+				sum.sent, sum.good = sum.sent+r.sent, sum.good+r.good
+			}
+		})
+	}
+	if got, mean := direct.goodShare(), trees.goodShare(); got < minMeanShare*mean {
+		t.Errorf("share of direct requests in time %.3f, want a quarter of %.3f", got, mean)
+	}
+}
+
 // TestErrorsWithoutCongestion guards against refusals because of a faulty upstream.
 func TestErrorsWithoutCongestion(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
