Test the memory and descriptors of processes against clients of all ports

Clients that the operators don't control ended a process, which ran out of memory. The tests of package memorytester send their crowds to the port of callers at one node only.

--- a/internal/memorytester/callers_test.go
+++ b/internal/memorytester/callers_test.go
@@ -23,16 +23,21 @@
 	stallTime = 4 * time.Second
 )
 
-// callers plays many callers at once. Each keeps its connection open until the end of the test.
+// callers plays many callers of one address at once. Each keeps its connection open until the end of the test.
 type callers struct {
-	f     *fleet
-	group sync.WaitGroup
-	mu    sync.Mutex
-	conns []net.Conn
+	f       *fleet
+	address string
+	group   sync.WaitGroup
+	mu      sync.Mutex
+	conns   []net.Conn
 }
 
 func newCallers(f *fleet) *callers {
-	p := &callers{f: f}
+	return newCallersOf(f, f.nodes[0].caller)
+}
+
+func newCallersOf(f *fleet, address string) *callers {
+	p := &callers{f: f, address: address}
 	f.t.Cleanup(func() {
 		p.mu.Lock()
 		defer p.mu.Unlock()
@@ -47,7 +52,7 @@
 func (p *callers) start(n int, send func(c net.Conn, i int) error) {
 	for i := range n {
 		p.group.Go(func() {
-			c, err := net.DialTimeout("tcp", p.f.nodes[0].caller, stallTime)
+			c, err := net.DialTimeout("tcp", p.address, stallTime)
 			if err != nil {
 				return
 			}
@@ -82,6 +87,21 @@
 		"X-Deadline-Ms: 20000\r\n%s\r\n\r\n", path, i, strings.Join(lines, "\r\n"))
 }
 
+// target is what callers send their requests for.
+type target struct {
+	path string
+	// contentType is the type of the body, or empty.
+	contentType string
+}
+
+// head returns the head of a request for the target, with a further header line.
+func (to target) head(i int, line string) string {
+	if to.contentType == "" {
+		return head(i, to.path, line)
+	}
+	return head(i, to.path, "Content-Type: "+to.contentType, line)
+}
+
 func standardLimits() limits {
 	return limits{memoryMB: nodeMemoryMB, maxBodyBytes: bodyLimit, descriptors: descriptorLimit}
 }
@@ -90,6 +110,13 @@
 func TestHeadersOverLimit(t *testing.T) {
 	f := startFleet(t, standardLimits())
 	p := newCallers(f)
+	p.sendHeaders()
+	p.wait()
+	f.check()
+}
+
+// sendHeaders sends header sections that are over the limit or have no end.
+func (p *callers) sendHeaders() {
 	start := "GET /one/a HTTP/1.1\r\nHost: a.example\r\n"
 	p.start(300, func(c net.Conn, _ int) error {
 		// The size is below the limit of the servers, and above that of the configuration.
@@ -111,8 +138,6 @@
 		}
 		return repeat(c, strings.Repeat("Name: value\r\n", 500), 4<<20)
 	})
-	p.wait()
-	f.check()
 }
 
 // repeat writes a text until the given number of bytes is reached or the connection fails.
@@ -129,22 +154,27 @@
 func TestEmptyLines(t *testing.T) {
 	f := startFleet(t, standardLimits())
 	p := newCallers(f)
+	p.sendEmptyLines(target{path: "/one/slow"})
+	p.wait()
+	f.check()
+}
+
+// sendEmptyLines sends empty lines in place of a request, and behind a request for the target.
+func (p *callers) sendEmptyLines(to target) {
 	lines := strings.Repeat("\r\n", 4<<10)
 	p.start(200, func(c net.Conn, _ int) error { return repeat(c, lines, 4<<20) })
 	p.start(200, func(c net.Conn, i int) error {
-		if _, err := io.WriteString(c, head(i, "/one/slow", "Content-Length: 1")+"x"); err != nil {
+		if _, err := io.WriteString(c, to.head(i, "Content-Length: 1")+"x"); err != nil {
 			return err
 		}
 		return repeat(c, lines, 4<<20)
 	})
 	p.start(100, func(c net.Conn, _ int) error { return repeat(c, "\n", 64<<10) })
-	p.wait()
-	f.check()
 }
 
 // sendBody sends a body of the given size in pieces. With short, it stops one byte before the end.
-func sendBody(c net.Conn, i, size, piece int, short bool) error {
-	if _, err := io.WriteString(c, head(i, "/one/a", fmt.Sprintf("Content-Length: %d", size))); err != nil {
+func sendBody(c net.Conn, to target, i, size, piece int, short bool) error {
+	if _, err := io.WriteString(c, to.head(i, fmt.Sprintf("Content-Length: %d", size))); err != nil {
 		return err
 	}
 	if short {
@@ -167,7 +197,9 @@
 		t.Run(fmt.Sprintf("pieces of %d", piece), func(t *testing.T) {
 			f := startFleet(t, standardLimits())
 			p := newCallers(f)
-			p.start(crowd, func(c net.Conn, i int) error { return sendBody(c, i, bodyLimit, piece, i%6 != 0) })
+			p.start(crowd, func(c net.Conn, i int) error {
+				return sendBody(c, target{path: "/one/a"}, i, bodyLimit, piece, i%6 != 0)
+			})
 			p.wait()
 			f.check()
 		})
@@ -178,7 +210,9 @@
 func TestWholeBodies(t *testing.T) {
 	f := startFleet(t, standardLimits())
 	p := newCallers(f)
-	p.start(crowd, func(c net.Conn, i int) error { return sendBody(c, i, bodyLimit, bodyLimit, false) })
+	p.start(crowd, func(c net.Conn, i int) error {
+		return sendBody(c, target{path: "/one/a"}, i, bodyLimit, bodyLimit, false)
+	})
 	p.wait()
 	f.check()
 }
@@ -191,28 +225,33 @@
 		t.Run(fmt.Sprintf("chunks of %d", test.chunk), func(t *testing.T) {
 			f := startFleet(t, standardLimits())
 			p := newCallers(f)
-			// The sum is the same for both sizes.
-			p.start(crowd*bodyLimit/(test.size+test.chunk)/2, func(c net.Conn, i int) error {
-				if _, err := io.WriteString(c, head(i, "/one/a", "Transfer-Encoding: chunked")); err != nil {
-					return err
-				}
-				chunk := fmt.Sprintf("%x\r\n%s\r\n", test.chunk, strings.Repeat("x", test.chunk))
-				many := max(1, (32<<10)/len(chunk))
-				if err := repeat(c, strings.Repeat(chunk, many), test.size/test.chunk*len(chunk)); err != nil {
-					return err
-				}
-				if i%6 != 0 {
-					return nil
-				}
-				_, err := io.WriteString(c, "0\r\n\r\n")
-				return err
-			})
+			p.sendChunks(target{path: "/one/a"}, test.chunk, test.size)
 			p.wait()
 			f.check()
 		})
 	}
 }
 
+// sendChunks sends chunked bodies of about the given size, most of which stop just short of their end.
+func (p *callers) sendChunks(to target, chunkSize, size int) {
+	// The sum is the same for all sizes.
+	p.start(crowd*bodyLimit/(size+chunkSize)/2, func(c net.Conn, i int) error {
+		if _, err := io.WriteString(c, to.head(i, "Transfer-Encoding: chunked")); err != nil {
+			return err
+		}
+		chunk := fmt.Sprintf("%x\r\n%s\r\n", chunkSize, strings.Repeat("x", chunkSize))
+		many := max(1, (32<<10)/len(chunk))
+		if err := repeat(c, strings.Repeat(chunk, many), size/chunkSize*len(chunk)); err != nil {
+			return err
+		}
+		if i%6 != 0 {
+			return nil
+		}
+		_, err := io.WriteString(c, "0\r\n\r\n")
+		return err
+	})
+}
+
 // TestSlowReaders guards against large responses that their callers don't read.
 func TestSlowReaders(t *testing.T) {
 	f := startFleet(t, standardLimits())
--- a/internal/memorytester/fleet_test.go
+++ b/internal/memorytester/fleet_test.go
@@ -84,16 +84,21 @@
 	t         *testing.T
 	limits    limits
 	folder    string
-	control   string
+	control   *node
 	nodes     []*node
 	logs      []string
 	requestID int
 }
 
+// node is a process of the fleet. A control host has only the addresses caller, for operators and the processes of the fleet, and admin.
 type node struct {
+	name      string
 	process   *os.Process
 	caller    string
+	peer      string
 	announce  string
+	ready     string
+	admin     string
 	upstream  *upstream
 	log       string
 	exited    chan struct{}
@@ -107,18 +112,21 @@
 	}
 	f := &fleet{t: t, limits: l, folder: t.TempDir()}
 	host := randomLoopback()
-	control, nodes := reserve(t, host, 1), []*reservation{reserve(t, host, 4), reserve(t, host, 4)}
-	f.control = control.addresses[0]
-	f.start(control, "control", fmt.Sprintf(`{"trustedNetwork":true,"control":{"name":"core-0","failureDomain":"d1","address":%q,`+
-		`"dataFolder":%q,"seeds":[%q],"firstStart":true,"face":"platform"}}`, f.control, filepath.Join(f.folder, "data"), f.control), 0)
+	control, nodes := reserve(t, host, 2), []*reservation{reserve(t, host, 5), reserve(t, host, 5)}
+	common := fmt.Sprintf(`"trustedNetwork":true,"limits":{"memoryMb":%d}`, l.memoryMB)
+	f.control = &node{name: "control", caller: control.addresses[0], admin: control.addresses[1]}
+	f.start(f.control, control, fmt.Sprintf(`{%s,"adminAddress":%q,"control":{"name":"core-0","failureDomain":"d1","address":%q,`+
+		`"dataFolder":%q,"seeds":[%q],"firstStart":true,"face":"platform"}}`, common, f.control.admin, f.control.caller,
+		filepath.Join(f.folder, "data"), f.control.caller))
 	for i, r := range nodes {
-		n := &node{caller: r.addresses[0], announce: r.addresses[1], upstream: startUpstream(t, fmt.Sprintf("i-%d", i))}
-		name := fmt.Sprintf("side-%d", i)
-		started := f.start(r, name, fmt.Sprintf(`{"trustedNetwork":true,"limits":{"memoryMb":%d},"node":{"name":%q,"failureDomain":"d1",`+
+		n := &node{
+			name: fmt.Sprintf("side-%d", i), caller: r.addresses[0], announce: r.addresses[1], peer: r.addresses[2], ready: r.addresses[3],
+			admin: r.addresses[4], upstream: startUpstream(t, fmt.Sprintf("i-%d", i)),
+		}
+		f.start(n, r, fmt.Sprintf(`{%s,"adminAddress":%q,"node":{"name":%q,"failureDomain":"d1",`+
 			`"region":"r1","callerAddress":%q,"peerAddress":%q,"announceAddress":%q,"readyAddress":%q,"controlAddresses":[%q],`+
-			`"callerMemoryBytes":%d,"service":"svc%d","heartbeatInterval":"60s","face":"platform","upstreamAddress":%q}}`, l.memoryMB, name,
-			n.caller, r.addresses[2], n.announce, r.addresses[3], f.control, l.callerMemory, i, n.upstream.address()), l.descriptors)
-		n.process, n.log, n.exited = started.process, started.log, started.exited
+			`"callerMemoryBytes":%d,"service":"svc%d","heartbeatInterval":"60s","face":"platform","upstreamAddress":%q}}`, common, n.admin, n.name,
+			n.caller, n.peer, n.announce, n.ready, f.control.caller, l.callerMemory, i, n.upstream.address()))
 		f.nodes = append(f.nodes, n)
 	}
 	f.configure()
@@ -129,30 +137,26 @@
 	return f
 }
 
-// start starts the binary with settings that use the reserved addresses. A limit on file descriptors that is not zero holds for that
-// process only.
-func (f *fleet) start(r *reservation, name, settings string, descriptors int) *node {
+// start starts the binary as a process of the fleet, with settings that use the reserved addresses.
+func (f *fleet) start(n *node, r *reservation, settings string) {
 	f.t.Helper()
-	file := filepath.Join(f.folder, name+".jsonc")
+	file := filepath.Join(f.folder, n.name+".jsonc")
 	if err := os.WriteFile(file, []byte(settings), 0o600); err != nil {
 		f.t.Fatal(err)
 	}
-	log, err := os.Create(filepath.Join(f.folder, name+".log"))
+	log, err := os.Create(filepath.Join(f.folder, n.name+".log"))
 	if err != nil {
 		f.t.Fatal(err)
 	}
 	defer func() { _ = log.Close() }()
-	command := `exec "$0" serve --config "$1"`
-	if descriptors > 0 {
-		command = fmt.Sprintf("ulimit -n %d; %s", descriptors, command)
-	}
+	command := fmt.Sprintf(`ulimit -n %d; exec "$0" serve --config "$1"`, f.limits.descriptors)
 	f.logs = append(f.logs, log.Name())
 	r.release()
 	p, err := os.StartProcess("/bin/sh", []string{"sh", "-c", command, binary, file}, &os.ProcAttr{Files: []*os.File{nil, log, log}})
 	if err != nil {
 		f.t.Fatal(err)
 	}
-	n := &node{process: p, log: log.Name(), exited: make(chan struct{})}
+	n.process, n.log, n.exited = p, log.Name(), make(chan struct{})
 	var wait sync.WaitGroup
 	wait.Go(func() {
 		_, _ = p.Wait()
@@ -162,7 +166,6 @@
 		_ = p.Signal(syscall.SIGKILL)
 		wait.Wait()
 	})
-	return n
 }
 
 func (f *fleet) configure() {
@@ -173,7 +176,7 @@
 		`"services":{"svc0":{"healthPath":"/h","maxConns":900},"svc1":{"healthPath":"/h","maxConns":900}},`+
 		`"limits":{"maxHeaderBytes":16384,"maxBodyBytes":%d,"headerTimeoutS":3,"idleTimeoutS":15},`+
 		`"tenants":{"school":{"apiKeys":["key-a"],"ratePerS":9000,"burst":9000}}}`, common, common, f.limits.maxBodyBytes)
-	f.waitUntil("the configuration is acknowledged", func() bool { return post("http://"+f.control+"/config/replace", text) })
+	f.waitUntil("the configuration is acknowledged", func() bool { return post("http://"+f.control.caller+"/config/replace", text) })
 }
 
 func (f *fleet) heartbeat(i int, n *node) bool {
@@ -219,33 +222,37 @@
 	return resp.StatusCode
 }
 
-// check checks that both nodes live, that their memory and descriptors are under their bounds, and that an ordinary request is
+// check checks that all processes live, that their memory and descriptors are under their bounds, and that an ordinary request is
 // answered.
 func (f *fleet) check() {
 	f.t.Helper()
 	f.waitUntil("an ordinary request is answered", func() bool { return f.request() == http.StatusOK })
-	for i, n := range f.nodes {
+	for _, n := range f.processes() {
 		select {
 		case <-n.exited:
-			f.t.Errorf("node %d has ended:\n%s", i, lastLines(n.log))
+			f.t.Errorf("%s has ended:\n%s", n.name, lastLines(n.log))
 			continue
 		default:
 		}
 		peak, open := n.peakMemoryMB(f.t), max(n.openFiles, n.countFiles())
-		f.t.Logf("node %d: peak memory %d MB of %d, %d descriptors of %d", i, peak, f.limits.memoryMB, open, f.limits.descriptors)
+		f.t.Logf("%s: peak memory %d MB of %d, %d descriptors of %d", n.name, peak, f.limits.memoryMB, open, f.limits.descriptors)
 		if peak > f.limits.memoryMB {
-			f.t.Errorf("node %d: peak memory %d MB, want at most %d", i, peak, f.limits.memoryMB)
+			f.t.Errorf("%s: peak memory %d MB, want at most %d", n.name, peak, f.limits.memoryMB)
 		}
 		// A tenth of the descriptors must stay free for connections to upstreams and peers.
 		if most := f.limits.descriptors * 9 / 10; open > most {
-			f.t.Errorf("node %d: %d open descriptors, want at most %d", i, open, most)
+			f.t.Errorf("%s: %d open descriptors, want at most %d", n.name, open, most)
 		}
 	}
 }
 
-// observe records the open descriptors of the nodes.
+func (f *fleet) processes() []*node {
+	return append([]*node{f.control}, f.nodes...)
+}
+
+// observe records the open descriptors of the processes.
 func (f *fleet) observe() {
-	for _, n := range f.nodes {
+	for _, n := range f.processes() {
 		n.openFiles = max(n.openFiles, n.countFiles())
 	}
 }
