Bound the memory and connections of clients on all ports

Cause: header sections, bodies and connections were charged and counted only at the port of callers. The other ports of a node and those of control hosts were served by plain net/http servers, and calls between processes were read whole, whatever their size.

Ruled out: bodies at ports that don't read them (readiness, adminAddress, heartbeats, calls with a request token), and empty lines; both hold on the code before.

Change: one budget for a process. The servers of heartbeats, readiness, adminAddress and control hosts read their connections like that of callers, each with a bound of its own. Nodes accept only HTTP/2 from one another, as they have always sent. Control hosts buffer a body, charged to the budget, before it is decoded. No client within the limits meets these: 64 connections where a few clients are, 32 MB for a body at a control host, 64 KB for a call for tokens.

--- a/internal/aggregator/server.go
+++ b/internal/aggregator/server.go
@@ -17,6 +17,9 @@
 // PathPrefix begins the paths of calls to Handler.
 const PathPrefix = schema.TokensPathPrefix
 
+// maxRequestBytes bounds the body of a call. It holds the name of an account and a few numbers.
+const maxRequestBytes = 64 << 10
+
 // Stop makes the node refuse to take tokens for others, and returns those that it holds for them.
 func (a *Aggregator) Stop() {
 	if !a.stopping.CompareAndSwap(false, true) {
@@ -35,6 +38,7 @@
 			_ = twirp.WriteError(w, twirp.NewError(twirp.Unauthenticated, "the fleet token is missing or wrong"))
 			return
 		}
+		r.Body = http.MaxBytesReader(w, r.Body, maxRequestBytes)
 		server.ServeHTTP(w, r)
 	})
 }
--- a/internal/dialer/server.go
+++ b/internal/dialer/server.go
@@ -29,9 +29,10 @@
 const (
 	// Callers use HTTP/1.1 or HTTP/2. The server does not terminate TLS for them.
 	Callers ClientKind = iota
-	// Peers are processes of the fleet. With TLS they must present a certificate.
+	// Peers are nodes of the fleet. They use HTTP/2 alone, and with TLS they must present a certificate.
 	Peers
-	// Operators use HTTP/1.1 or HTTP/2. With TLS only the server presents a certificate.
+	// Operators use HTTP/1.1 or HTTP/2, as do the processes of the fleet that use the same port. With TLS only the server presents a
+	// certificate.
 	Operators
 )
 
@@ -39,7 +40,7 @@
 type Server struct {
 	http     *http.Server
 	listener net.Listener
-	// pipelines is nil unless the server accepts callers.
+	// pipelines is nil unless the server reads the requests of HTTP/1.1 itself.
 	pipelines *pipeliner.Listener
 }
 
@@ -50,18 +51,19 @@
 }
 
 // ListenAndServe listens on an address and serves a handler on it in a goroutine of the tomb.
-func (s *Security) ListenAndServe(t *tomb.Tomb, addr netip.AddrPort, clients ClientKind, h http.Handler) (*Server, error) {
+func (s *Security) ListenAndServe(t *tomb.Tomb, addr netip.AddrPort, clients ClientKind, h http.Handler, opts ...pipeliner.Option) (*Server, error) {
 	ln, err := ListenTCP(addr)
 	if err != nil {
 		return nil, err
 	}
-	return s.Serve(t, ln, clients, h), nil
+	return s.Serve(t, ln, clients, h, opts...), nil
 }
 
-// Serve serves a handler on an open listener in a goroutine of the tomb. The options are those for callers' connections.
+// Serve serves a handler on an open listener in a goroutine of the tomb. The options are those for
+// connections that are not encrypted.
 func (s *Security) Serve(t *tomb.Tomb, ln net.Listener, clients ClientKind, h http.Handler, opts ...pipeliner.Option) *Server {
 	var protocols http.Protocols
-	protocols.SetHTTP1(true)
+	protocols.SetHTTP1(clients != Peers)
 	protocols.SetHTTP2(true)
 	protocols.SetUnencryptedHTTP2(true)
 	srv := &http.Server{
@@ -75,7 +77,7 @@
 	}
 	listener := ln
 	var pipelines *pipeliner.Listener
-	if clients == Callers {
+	if clients == Callers || (clients == Operators && s.cfg == nil) {
 		pipelines = pipeliner.Listen(t, ln, s.timer, opts...)
 		listener, srv.ConnState, srv.ConnContext = pipelines, pipelines.ConnState, pipelines.ConnContext
 	}
--- a/internal/runner/admin.go
+++ b/internal/runner/admin.go
@@ -11,6 +11,7 @@
 
 	"github.com/lavenderhub/lavenderhub/internal/dialer"
 	"github.com/lavenderhub/lavenderhub/internal/exporter"
+	"github.com/lavenderhub/lavenderhub/internal/pipeliner"
 	"github.com/lavenderhub/lavenderhub/internal/reporter"
 	"github.com/lavenderhub/lavenderhub/schema"
 )
@@ -27,7 +28,8 @@
 func StartAdmin(b Base, addr netip.AddrPort) (*Admin, error) {
 	a := &Admin{Base: b}
 	var err error
-	a.server, err = b.Security.ListenAndServe(&a.tomb, addr, dialer.Operators, a.handler())
+	a.server, err = b.Security.ListenAndServe(&a.tomb, addr, dialer.Operators, a.handler(),
+		pipeliner.WithLimits(b.Budget, auxiliaryConnections))
 	return a, err
 }
 
--- a/internal/runner/caller_memory.go
+++ b/internal/runner/caller_memory.go
@@ -27,6 +27,8 @@
 	connectionShare = 1.0 / 2
 	connectionSize  = 20 << 10
 	descriptorShare = 3.0 / 4
+	// auxiliaryConnections bounds the connections to a port that only a few clients on the same host or of the platform use.
+	auxiliaryConnections = 64
 	// pressureInterval is the time between two log lines about the budget.
 	pressureInterval = time.Minute
 )
@@ -39,7 +41,7 @@
 	return defaultHeap
 }
 
-// newCallerBudget returns the budget of what the node holds for callers and upstreams. A limit of zero is derived from the memory of
+// newCallerBudget returns the budget of what the process holds for callers, upstreams and other processes. A limit of zero is derived from the memory of
 // the runtime.
 func newCallerBudget(t *timer.Service, limit uint64, registry metrics.Registry) *budgeter.Budget {
 	size := int64(min(limit, math.MaxInt64))
--- a/internal/runner/control.go
+++ b/internal/runner/control.go
@@ -11,6 +11,7 @@
 
 	"github.com/lavenderhub/lavenderhub/internal/controller"
 	"github.com/lavenderhub/lavenderhub/internal/dialer"
+	"github.com/lavenderhub/lavenderhub/internal/pipeliner"
 	"github.com/lavenderhub/lavenderhub/platform"
 	"github.com/lavenderhub/lavenderhub/schema"
 )
@@ -50,7 +51,9 @@
 	if cfg.GetFace() == schema.Face_FACE_PLATFORM {
 		handler = platform.NewOperatorHandler(c.controller, b.Log, handler)
 	}
-	if c.server, err = b.Security.ListenAndServe(&c.tomb, addr, dialer.Operators, handler); err != nil {
+	handler = dialer.BufferBodies(b.Budget, dialer.MaxMessageBytes, handler)
+	limits := pipeliner.WithLimits(b.Budget, maxConnections())
+	if c.server, err = b.Security.ListenAndServe(&c.tomb, addr, dialer.Operators, handler, limits); err != nil {
 		_ = c.controller.Kill()
 		return nil, err
 	}
--- a/internal/runner/face.go
+++ b/internal/runner/face.go
@@ -9,6 +9,7 @@
 	"github.com/lavenderhub/lavenderhub/internal/dialer"
 	"github.com/lavenderhub/lavenderhub/internal/exchanger"
 	"github.com/lavenderhub/lavenderhub/internal/forwarder"
+	"github.com/lavenderhub/lavenderhub/internal/pipeliner"
 	"github.com/lavenderhub/lavenderhub/internal/prober"
 	"github.com/lavenderhub/lavenderhub/platform"
 	"github.com/lavenderhub/lavenderhub/schema"
@@ -94,7 +95,8 @@
 		if err != nil {
 			return err
 		}
-		n.faceServers = append(n.faceServers, n.Security.Serve(&n.tomb, ln, dialer.Callers, endpoint.handler))
+		n.faceServers = append(n.faceServers, n.Security.Serve(&n.tomb, ln, dialer.Callers, endpoint.handler,
+			pipeliner.WithLimits(n.Budget, auxiliaryConnections)))
 	}
 	return nil
 }
--- a/internal/runner/node.go
+++ b/internal/runner/node.go
@@ -58,6 +58,8 @@
 	Security *dialer.Security
 	// Dial, if not nil, opens connections to other processes.
 	Dial dialer.DialFunc
+	// Budget bounds what the process holds for callers, upstreams and other processes. If it is nil, a node has one of its own.
+	Budget *budgeter.Budget
 	// FleetToken authenticates the process to other processes of the fleet.
 	FleetToken string
 	// Terms are the operating guarantees of the fleet, such as the time limit for withdrawn keys. If it is nil, the defaults
@@ -94,12 +96,14 @@
 	peerServer   *dialer.Server
 	face         face
 	faceServers  []*dialer.Server
-	budget       *budgeter.Budget
 }
 
 // StartNode starts a node. Admin is the address at which the node's reports are available, which it announces to control
 // hosts.
 func StartNode(b Base, cfg *schema.NodeSettings, admin netip.AddrPort, baseline Baseline) (*Node, error) {
+	if b.Budget == nil {
+		b.Budget = newCallerBudget(b.Timer, cfg.GetCallerMemoryBytes(), b.Registry)
+	}
 	n := &Node{Base: b, cfg: cfg}
 	n.peerPool = dialer.NewPool(b.Security, b.Timer, dialer.WithDial(b.Dial))
 	n.controlPool = dialer.NewPool(b.Security, b.Timer, dialer.WithDial(b.Dial))
@@ -126,18 +130,17 @@
 	if err := n.newSyncer(peerListener.Addr(), admin, baseline.SplitOver); err != nil {
 		return nil, err
 	}
-	n.budget = newCallerBudget(b.Timer, cfg.GetCallerMemoryBytes(), b.Registry)
 	n.newForwarder(baseline.Overrides)
 	n.syncer.Run()
 	n.startProber()
 	if err := n.face.listen(n); err != nil {
 		return nil, err
 	}
-	n.callerServer = b.Security.Serve(&n.tomb, callerListener, dialer.Callers, chargeStreams(n.budget, n.face.callerHandler(n)),
-		pipeliner.WithLimits(n.budget, maxConnections()))
+	n.callerServer = b.Security.Serve(&n.tomb, callerListener, dialer.Callers, chargeStreams(b.Budget, n.face.callerHandler(n)),
+		pipeliner.WithLimits(b.Budget, maxConnections()))
 	n.peerServer = b.Security.Serve(&n.tomb, peerListener, dialer.Peers, n.peerHandler())
 	n.Registry.GetOrRegister("callers.pipelinedCut", metrics.NewFunctionalGauge(n.callerServer.CutRequests))
-	n.tomb.Go(func() error { return logPressure(&n.tomb, b.Timer, b.Log, n.budget, n.callerServer.ClosedConnections) })
+	n.tomb.Go(func() error { return logPressure(&n.tomb, b.Timer, b.Log, b.Budget, n.callerServer.ClosedConnections) })
 	n.Log.Info("nodeStarted", zap.String("node", cfg.GetName()),
 		zap.Stringer("callers", n.callerServer.Addr()), zap.Stringer("peers", n.peerServer.Addr()))
 	return n, nil
@@ -263,7 +266,7 @@
 func (n *Node) newForwarder(overrides forwarder.Overrides) {
 	opts := []forwarder.Option{
 		forwarder.WithOverrides(overrides), forwarder.WithMaxCertificateAge(maxCertificateAge(n.Terms)),
-		forwarder.WithLocalService(n.cfg.GetService()), forwarder.WithBudget(n.budget),
+		forwarder.WithLocalService(n.cfg.GetService()), forwarder.WithBudget(n.Budget),
 	}
 	if t := n.Terms; t.GetRetryWindow() != nil {
 		opts = append(opts, forwarder.WithRetryLimit(retrier.RetryLimit{
--- a/internal/runner/process.go
+++ b/internal/runner/process.go
@@ -39,6 +39,7 @@
 		Timer: t, Clock: clock, Log: log, Assert: asserter.New(log), Registry: metrics.NewRegistry(), Security: security,
 		FleetToken: token, Terms: cfg.GetTerms(),
 	}}
+	p.Budget = newCallerBudget(t, cfg.GetNode().GetCallerMemoryBytes(), p.Registry)
 	if err := p.start(cfg); err != nil {
 		_ = p.Stop()
 		return nil, err
