--- a/internal/dialer/buffered_body_test.go
+++ b/internal/dialer/buffered_body_test.go
@@ -81,7 +81,8 @@
 		t.Fatal(err)
 	}
 	defer func() { _ = stalled.Close() }()
-	if _, err := fmt.Fprintf(stalled, "POST / HTTP/1.1\r\nHost: a\r\nContent-Length: %d\r\n\r\n%s", size, strings.Repeat("x", size-1)); err != nil {
+	head := fmt.Sprintf("POST / HTTP/1.1\r\nHost: a\r\nContent-Length: %d\r\n\r\n", size)
+	if _, err := io.WriteString(stalled, head+strings.Repeat("x", size-1)); err != nil {
 		t.Fatal(err)
 	}
 	for began := time.Now(); ; time.Sleep(50 * time.Millisecond) {
--- a/internal/dialer/server.go
+++ b/internal/dialer/server.go
@@ -51,7 +51,9 @@
 }
 
 // ListenAndServe listens on an address and serves a handler on it in a goroutine of the tomb.
-func (s *Security) ListenAndServe(t *tomb.Tomb, addr netip.AddrPort, clients ClientKind, h http.Handler, opts ...pipeliner.Option) (*Server, error) {
+func (s *Security) ListenAndServe(
+	t *tomb.Tomb, addr netip.AddrPort, clients ClientKind, h http.Handler, opts ...pipeliner.Option,
+) (*Server, error) {
 	ln, err := ListenTCP(addr)
 	if err != nil {
 		return nil, err
--- a/internal/runner/caller_memory.go
+++ b/internal/runner/caller_memory.go
@@ -41,8 +41,8 @@
 	return defaultHeap
 }
 
-// newCallerBudget returns the budget of what the process holds for callers, upstreams and other processes. A limit of zero is derived from the memory of
-// the runtime.
+// newCallerBudget returns the budget of what the process holds for callers, upstreams and other processes. A limit of zero is derived
+// from the memory of the runtime.
 func newCallerBudget(t *timer.Service, limit uint64, registry metrics.Registry) *budgeter.Budget {
 	size := int64(min(limit, math.MaxInt64))
 	if size == 0 {
