--- a/internal/admitter/rank.go
+++ b/internal/admitter/rank.go
@@ -16,7 +16,7 @@
 type Rank uint32
 
 // InProgress is the rank of a call that is part of a request in progress at an unknown host. The request was admitted at
-// its entry, so no admission level sheds the call. It waits for a slot as long as its deadline allows.
+// its entry, so no admission level sheds the call. It waits for a slot for a part of the time to its deadline.
 const InProgress Rank = math.MaxUint32
 
 // Minimum is the rank of a request that belongs to the minimum which a service keeps for those that reach it directly while calls in
