--- a/internal/forwarder/downstream.go
+++ b/internal/forwarder/downstream.go
@@ -36,6 +36,7 @@
 	}
 	if f.downstream.KeepsMinimum(c.routeName(), f.Timer.Now()) {
 		c.rank = admitter.Minimum
+		f.meters.downstreamMinimum.Inc(1)
 	}
 }
 
--- a/internal/forwarder/forwarder.go
+++ b/internal/forwarder/forwarder.go
@@ -232,6 +232,8 @@
 	registry     metrics.Registry
 	// downstreamRefused counts the calls refused because a service further down is congested.
 	downstreamRefused metrics.Counter
+	// downstreamMinimum counts the calls that belong to the minimum of a congested service.
+	downstreamMinimum metrics.Counter
 }
 
 func newMeters(r metrics.Registry) meters {
@@ -247,6 +249,7 @@
 		registry:     r,
 
 		downstreamRefused: metrics.GetOrRegisterCounter("downstream.refused", r),
+		downstreamMinimum: metrics.GetOrRegisterCounter("downstream.minimum", r),
 	}
 }
 
