--- a/internal/dialer/buffered_body.go
+++ b/internal/dialer/buffered_body.go
@@ -27,7 +27,7 @@
 var errNoMemory = errors.New("no memory for the body")
 
 // BufferBodies passes requests on once their bodies, of up to the given number of bytes, are read. Bodies are charged to the budget as
-// they arrive; those that stall make room for others. A request whose body is not complete uses nothing of the handler's.
+// they arrive; those that stall make room for others. A request whose body is not complete never takes a place that the handler limits.
 func BufferBodies(b *budgeter.Budget, limit int64, next http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		if r.ContentLength == 0 || r.Body == nil || r.Body == http.NoBody {
--- a/internal/dialer/server.go
+++ b/internal/dialer/server.go
@@ -61,8 +61,7 @@
 	return s.Serve(t, ln, clients, h, opts...), nil
 }
 
-// Serve serves a handler on an open listener in a goroutine of the tomb. The options are those for
-// connections that are not encrypted.
+// Serve serves a handler on an open listener in a goroutine of the tomb. The options hold for connections that are not encrypted.
 func (s *Security) Serve(t *tomb.Tomb, ln net.Listener, clients ClientKind, h http.Handler, opts ...pipeliner.Option) *Server {
 	var protocols http.Protocols
 	protocols.SetHTTP1(clients != Peers)
