Keep half of the share for direct requests of a service that calls fill

Cause: the minimum of a quarter of the share is meant for classes of low rank among requests that lead to a full service. Direct requests get nothing else while calls in progress fill it.

Change: they keep half of the share, by a constant of its own.

--- a/internal/retrier/congested_service.go
+++ b/internal/retrier/congested_service.go
@@ -46,6 +46,9 @@
 	maxDependentRoutes = 16
 	// minMeanShare is the part of the admitted share that every class and every client account keeps, however low its ranks.
 	minMeanShare = 0.25
+	// minDirectShare is the part of the admitted share that requests keep which reach a service directly while calls fill it.
+	// Operators expect nearly half of the worth of each class while most upstreams of a service are gone.
+	minDirectShare = 0.5
 )
 
 // congestedService is what an entry node knows of a congested service: the routes whose requests lead to it, and the share
@@ -221,7 +224,7 @@
 	s.decay(now)
 	s.arrived++
 	s.ranks.add(rank)
-	minimum := s.minimum()
+	minimum := minMeanShare * s.share
 	if s.share >= 1 || kept < minimum {
 		return true
 	}
@@ -229,11 +232,6 @@
 	return s.ranks.position(rank, draw) >= refused*float64(s.ranks.count())
 }
 
-// minimum returns the share of requests that is admitted whatever their rank.
-func (s *congestedService) minimum() float64 {
-	return minMeanShare * s.share
-}
-
 // lasted returns how long dependent requests have been refused.
 func (s *congestedService) lasted(now time.Time) time.Duration {
 	if !s.limited {
--- a/internal/retrier/downstream_limiter.go
+++ b/internal/retrier/downstream_limiter.go
@@ -141,7 +141,7 @@
 	defer l.mu.Unlock()
 	for _, s := range l.services {
 		if s.name == route.Service {
-			return s.share < 1 && s.isFilledByCalls(now) && l.draw() < s.minimum()
+			return s.share < 1 && s.isFilledByCalls(now) && l.draw() < minDirectShare*s.share
 		}
 	}
 	return false
--- a/internal/retrier/downstream_model_test.go
+++ b/internal/retrier/downstream_model_test.go
@@ -433,8 +433,8 @@
 			}
 		})
 	}
-	if got, mean := direct.goodShare(), trees.goodShare(); got < minMeanShare*mean {
-		t.Errorf("share of direct requests in time %.3f, want a quarter of %.3f", got, mean)
+	if got, mean := direct.goodShare(), trees.goodShare(); got < minDirectShare*mean {
+		t.Errorf("share of direct requests in time %.3f, want half of %.3f", got, mean)
 	}
 }
 
