Render node settings for a platform that names no rules

Nodes refused their settings where the platform gives no contracts: "node.platformRules: want an array".

Cause: the template rendered null in place of a list. Change: it renders the entries one by one.

--- a/deploy_test.go
+++ b/deploy_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"fmt"
 	"os"
 	"path/filepath"
 	"regexp"
@@ -46,6 +47,13 @@
 				t.Fatalf("section %s is closed as %s", m[2], m[4])
 			}
 			v := find(root, m[2])
+			if list, ok := v.([]any); ok && m[1] == "#" {
+				text := ""
+				for _, entry := range list {
+					text += strings.ReplaceAll(m[3], "{{.}}", fmt.Sprint(entry))
+				}
+				return text
+			}
 			if present := v != nil && v != false && v != ""; present == (m[1] == "#") {
 				return m[3]
 			}
@@ -102,6 +110,11 @@
 	if terms := node.GetTerms(); terms.GetColdExcess() != 1 || terms.GetColdSlack() != 0 || terms.GetEvacuateLimit() != nil {
 		t.Errorf("terms without bounds on cold upstreams and evacuations: %v", terms)
 	}
+	// A platform that names no rules is served like one with none.
+	node, err = parser.Parse("node", []byte(render(t, string(template), strings.Replace(nodeFields, `"contracts":["base","health"],`, "", 1))))
+	if err != nil || len(node.GetNode().GetPlatformRules()) != 0 {
+		t.Errorf("rules %v, %v without contracts", node.GetNode().GetPlatformRules(), err)
+	}
 	bounded := strings.Replace(nodeFields, `"drainS":2`, `"coldExcess":1.5,"coldSlack":8,"evacuateS":5,"drainS":2`, 1)
 	node, err = parser.Parse("node", []byte(render(t, string(template), bounded)))
 	if err != nil {
--- a/internal/runner/caller_memory.go
+++ b/internal/runner/caller_memory.go
@@ -27,7 +27,7 @@
 	connectionShare = 1.0 / 2
 	connectionSize  = 20 << 10
 	descriptorShare = 3.0 / 4
-	// auxiliaryConnections bounds the connections to a port that only a few clients on the same host or of the platform use.
+	// auxiliaryConnections bounds the connections to a port that only a few clients use, on the same host or of the platform.
 	auxiliaryConnections = 64
 	// pressureInterval is the time between two log lines about the budget.
 	pressureInterval = time.Minute
